--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,205 @@
+//! The platform's settings file, checked before anything starts.
+
+use crate::ids::{Node, Team, Zone};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("cannot read settings file {path}: {source}")]
+    Read { path: String, source: std::io::Error },
+    #[error("settings: {0}")]
+    Parse(String),
+    #[error("settings: {field}: {problem}")]
+    Invalid { field: String, problem: &'static str },
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Config {
+    #[serde(rename = "host_name")]
+    pub node: Node,
+    #[serde(rename = "area")]
+    pub zone: Zone,
+    pub front: SocketAddr,
+    #[serde(rename = "mesh_addr")]
+    pub mesh: SocketAddr,
+    #[serde(default)]
+    pub siblings: Vec<Sibling>,
+    pub services: Services,
+    pub deployment: Deployment,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Sibling {
+    #[serde(rename = "host_name")]
+    pub node: Node,
+    pub addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    #[serde(default)]
+    pub clock_error_ms: f64,
+    #[serde(default)]
+    pub teams: Vec<TeamLimits>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub limits: ProcessLimits,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct TeamLimits {
+    pub name: Team,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// What is expected of a class; kinds that are not known are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    pub class: Option<String>,
+    pub within_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct ProcessLimits {
+    pub mem_mb: f64,
+    pub fd_limit: usize,
+}
+
+impl Config {
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ConfigError::Read { path: path.display().to_string(), source })?;
+        Self::parse(&text)
+    }
+
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let config: Self = toml::from_str(text)
+            .map_err(|e| ConfigError::Parse(e.to_string().trim().replace('\n', " | ")))?;
+        config.check()?;
+        Ok(config)
+    }
+
+    fn check(&self) -> Result<(), ConfigError> {
+        let d = &self.deployment;
+        for (field, value) in [
+            ("deployment.workers.report_s", d.workers.report_s),
+            ("deployment.workers.lease_s", d.workers.lease_s),
+            ("deployment.workers.gang_wait_s", d.workers.gang_wait_s),
+            ("deployment.workers.gang_peer_s", d.workers.gang_peer_s),
+            ("deployment.workers.cancel_s", d.workers.cancel_s),
+            ("deployment.state.rps", d.state.rps),
+            ("deployment.state.write_rps", d.state.write_rps),
+            ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.cloud.rps", d.cloud.rps),
+            ("deployment.limits.mem_mb", d.limits.mem_mb),
+        ] {
+            if !(value.is_finite() && value > 0.0) {
+                return invalid(field, "must be a positive number");
+            }
+        }
+        for (field, value) in [
+            ("deployment.clock_error_ms", d.clock_error_ms),
+            ("deployment.cloud.list_lag_s", d.cloud.list_lag_s),
+        ] {
+            if !(value.is_finite() && value >= 0.0) {
+                return invalid(field, "must not be negative");
+            }
+        }
+        if d.state.txn_ops < 2 {
+            return invalid("deployment.state.txn_ops", "must be at least 2");
+        }
+        if d.limits.fd_limit < 32 {
+            return invalid("deployment.limits.fd_limit", "must be at least 32");
+        }
+        if self.node.as_str().is_empty() {
+            return invalid("host_name", "must not be empty");
+        }
+        for (i, sibling) in self.siblings.iter().enumerate() {
+            if sibling.node == self.node
+                || self.siblings[..i].iter().any(|other| other.node == sibling.node)
+            {
+                return invalid("siblings.host_name", "each controller must be named once");
+            }
+        }
+        for team in &d.teams {
+            for amount in [team.cpus, team.cpus_max, team.gpus, team.gpus_max] {
+                if !(amount.is_finite() && amount >= 0.0) {
+                    return invalid("deployment.teams", "amounts must not be negative");
+                }
+            }
+        }
+        for objective in &d.objectives {
+            if objective.within_s.is_some_and(|s| !(s.is_finite() && s > 0.0)) {
+                return invalid("deployment.objectives.within_s", "must be a positive number");
+            }
+        }
+        Ok(())
+    }
+
+    pub fn controllers(&self) -> usize {
+        self.siblings.len() + 1
+    }
+
+    /// The tightest objective on a class's starts, if it has one.
+    pub fn wait_objective(&self, class: &str) -> Option<f64> {
+        self.objective("wait", class)
+    }
+
+    /// The tightest objective on a class's completion, if it has one.
+    pub fn finish_objective(&self, class: &str) -> Option<f64> {
+        self.objective("finished", class)
+    }
+
+    fn objective(&self, kind: &str, class: &str) -> Option<f64> {
+        let of_class = |o: &&Objective| o.kind == kind && o.class.as_deref() == Some(class);
+        let all = self.deployment.objectives.iter().filter(of_class);
+        all.filter_map(|o| o.within_s).min_by(f64::total_cmp)
+    }
+}
+
+fn invalid<T>(field: &str, problem: &'static str) -> Result<T, ConfigError> {
+    Err(ConfigError::Invalid { field: field.into(), problem })
+}
--- /dev/null
+++ b/src/core/desk.rs
@@ -0,0 +1,300 @@
+//! Users' requests. Any controller answers any of them: jobs are created, cancelled and read in
+//! the state service itself, guarded by versions, so an answer never depends on who gives it.
+//! Nothing is held back: what cannot be done soon is answered with when to come back.
+
+use super::io::Pending;
+use super::peers::{MeshMessage, MeshReply};
+use super::view::{JobRecord, guard, job_key, put};
+use super::{Answer, Body, Core, RequestId, StateCall, StateReply, Time, UserRequest};
+use crate::ids::{JobId, Version};
+use crate::wire::{JobSpec, Kind, Stance, Transaction, Write, stance_answer, state_answer};
+use std::rc::Rc;
+
+/// Users wait 2 s for an answer to a poll; this leaves room for a relay.
+const POLL_WAIT: Time = 0.9;
+/// Users wait 5 s for an answer to a submission or cancellation.
+const WRITE_WAIT: Time = 1.5;
+/// How long a write that the state service put off for its rate is tried again.
+const BUSY_WAIT: Time = 0.6;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ReplyTo {
+    User(RequestId),
+    /// A sibling passed it on; it is not passed on again.
+    Sibling(RequestId),
+}
+
+#[derive(Debug)]
+pub struct DeskCall {
+    asked: Asked,
+    write: Write,
+}
+
+/// A request on its way.
+#[derive(Debug)]
+struct Asked {
+    reply_to: ReplyTo,
+    what: UserRequest,
+    asked: Time,
+    /// Answered once the view is this current.
+    needs: Time,
+    /// Not before this time (a write that was put off).
+    not_before: Time,
+    /// A submission whose create was sent: an existing record may be its own.
+    created: bool,
+}
+
+#[derive(Default)]
+pub struct Desk {
+    waiting: Vec<Asked>,
+}
+
+/// Requests a controller keeps waiting at most, per MB of its memory limit.
+const WAITING_PER_MB: f64 = 20.0;
+
+impl Core {
+    pub(super) fn user_request(&mut self, request: RequestId, what: UserRequest) {
+        self.ask(ReplyTo::User(request), what);
+    }
+
+    pub(super) fn relayed_request(&mut self, request: RequestId, what: UserRequest) {
+        self.ask(ReplyTo::Sibling(request), what);
+    }
+
+    fn ask(&mut self, reply_to: ReplyTo, what: UserRequest) {
+        let now = self.io.now;
+        let (needs, not_before) = (now, now);
+        let asked = Asked { reply_to, what, asked: now, needs, not_before, created: false };
+        let limit = self.config.deployment.limits.mem_mb * WAITING_PER_MB;
+        if !self.view.complete() || self.desk.waiting.len() as f64 > limit {
+            return self.give_up(asked);
+        }
+        if let UserRequest::Submit(id, spec) = &asked.what
+            && self.view.job(id).is_none()
+        {
+            let Some(refusal) = self.supply.refusal(&self.config, spec) else {
+                return self.give_up(asked);
+            };
+            if refusal {
+                return self.reply(asked.reply_to, Answer::empty(422));
+            }
+            return self.create(asked);
+        }
+        self.settle(asked);
+    }
+
+    fn create(&mut self, mut asked: Asked) {
+        let UserRequest::Submit(id, spec) = &asked.what else { return };
+        let record = JobRecord {
+            stance: Stance::Pending,
+            accepted_ms: self.io.wall_ms,
+            tasks: spec.tasks,
+            done: Default::default(),
+            spec: Some(Rc::new((**spec).clone())),
+        };
+        let write = put(&job_key(id), &record, None);
+        asked.created = true;
+        let key = job_key(id);
+        self.commit(asked, key, 0, write);
+    }
+
+    fn commit(&mut self, asked: Asked, key: String, version: Version, write: Write) {
+        let transaction =
+            Transaction { guards: vec![guard(&key, version)], writes: vec![write.clone()] };
+        let call = DeskCall { asked, write };
+        self.io.state(Pending::Desk(call), StateCall::Commit(transaction));
+    }
+
+    pub(super) fn desk_reply(&mut self, call: DeskCall, reply: StateReply) {
+        let now = self.io.now;
+        let DeskCall { mut asked, write } = call;
+        match reply {
+            StateReply::Committed(version) => {
+                self.view.apply_write(&write, version);
+                match &asked.what {
+                    UserRequest::Submit(id, _) => {
+                        let answer = Answer::value(201, stance_answer(id, Stance::Pending));
+                        self.reply(asked.reply_to, answer);
+                    }
+                    UserRequest::Cancel(id) => {
+                        let id = id.clone();
+                        self.tell_siblings(&id);
+                        let answer = Answer::value(200, stance_answer(&id, Stance::Cancelled));
+                        self.reply(asked.reply_to, answer);
+                    }
+                    UserRequest::Poll(_) => {}
+                }
+            }
+            StateReply::Busy if now < asked.asked + BUSY_WAIT => {
+                asked.not_before = now + self.io.jitter(BUSY_WAIT / 6.0);
+                self.desk.waiting.push(asked);
+            }
+            // Changed meanwhile, or perhaps written: what is there now decides.
+            StateReply::Conflict | StateReply::Unknown => {
+                asked.needs = now;
+                self.settle(asked);
+            }
+            _ => self.give_up(asked),
+        }
+    }
+
+    /// Answers if the view is current enough, else waits for it.
+    fn settle(&mut self, mut asked: Asked) {
+        let id = match &asked.what {
+            UserRequest::Submit(id, _) | UserRequest::Poll(id) | UserRequest::Cancel(id) => {
+                id.clone()
+            }
+        };
+        let known = self.view.job(&id).cloned();
+        let ended = known.as_ref().is_some_and(|job| job.record.is_final());
+        if !ended && self.view.current_as_of < asked.needs {
+            self.view.want_sync();
+            self.desk.waiting.push(asked);
+            return;
+        }
+        match (&asked.what, known) {
+            (UserRequest::Submit(..), None) => {
+                // Created or not, a repeat of the guarded create decides.
+                if asked.created {
+                    asked.not_before = self.io.now + self.io.jitter(BUSY_WAIT / 6.0);
+                    self.desk.waiting.push(asked);
+                } else {
+                    self.create(asked);
+                }
+            }
+            (_, None) => self.reply(asked.reply_to, Answer::empty(404)),
+            (UserRequest::Submit(..), Some(job)) => {
+                let stance = self.display(&id, &job.record).0;
+                self.reply(asked.reply_to, Answer::value(200, stance_answer(&id, stance)));
+            }
+            (UserRequest::Poll(_), Some(job)) => {
+                let (stance, done, running) = self.display(&id, &job.record);
+                let answer = Answer::value(200, state_answer(&id, stance, done, running));
+                self.reply(asked.reply_to, answer);
+            }
+            (UserRequest::Cancel(_), Some(job)) if job.record.is_final() => {
+                let answer = Answer::value(200, stance_answer(&id, job.record.stance));
+                self.reply(asked.reply_to, answer);
+            }
+            (UserRequest::Cancel(_), Some(job)) => {
+                let write = put(&job_key(&id), &job.record.ended(Stance::Cancelled), None);
+                self.commit(asked, job_key(&id), job.version, write);
+            }
+        }
+    }
+
+    /// Stance and counts as shown to users; only final stances are promises.
+    fn display(&self, id: &JobId, record: &JobRecord) -> (Stance, u32, u32) {
+        match record.stance {
+            Stance::Done => (Stance::Done, record.tasks, 0),
+            Stance::Cancelled => (Stance::Cancelled, 0, 0),
+            _ => {
+                let counts = self.lead.as_ref().and_then(|lead| lead.counts(id));
+                let (done, running) =
+                    counts.or_else(|| self.peers.running(id)).unwrap_or((record.done.len(), 0));
+                let stance = if running > 0 { Stance::Running } else { Stance::Pending };
+                (stance, done, running)
+            }
+        }
+    }
+
+    /// The leader learns of a cancellation by its next sync anyway; this is only sooner.
+    fn tell_siblings(&mut self, id: &JobId) {
+        let leader = self.view.leader().map(|l| l.record.node.clone());
+        if let Some(node) = leader.filter(|node| *node != self.config.node) {
+            self.io.mesh(Pending::Notice, &node, MeshMessage::Cancelled(id.clone()));
+        }
+    }
+
+    /// This controller cannot answer: a sibling that has the state service may; else the user
+    /// is told at once when to come back.
+    fn give_up(&mut self, asked: Asked) {
+        let sibling = self.peers.with_state(self.io.now).cloned();
+        let (ReplyTo::User(request), Some(node), false) =
+            (asked.reply_to, sibling, self.has_state())
+        else {
+            return self.reply(asked.reply_to, Answer::unavailable());
+        };
+        let message = match &asked.what {
+            UserRequest::Submit(id, spec) => MeshMessage::Submit(id.clone(), spec.clone()),
+            UserRequest::Poll(id) => MeshMessage::Poll(id.clone()),
+            UserRequest::Cancel(id) => MeshMessage::Cancel(id.clone()),
+        };
+        self.io.mesh(Pending::Relay { request }, &node, message);
+    }
+
+    fn reply(&mut self, to: ReplyTo, answer: Answer) {
+        match to {
+            ReplyTo::User(request) => self.io.answer(request, answer),
+            ReplyTo::Sibling(request) => {
+                let body = match answer.body {
+                    Body::Value(body) => Some(body),
+                    Body::Empty | Body::Orders(_) => None,
+                };
+                let Answer { status, retry_after, .. } = answer;
+                self.io.mesh_answer(request, MeshReply::Answer { status, body, retry_after });
+            }
+        }
+    }
+
+    /// The view has moved on: those that waited for that get their answers.
+    pub(super) fn desk_synced(&mut self) {
+        let current = self.view.current_as_of;
+        let now = self.io.now;
+        let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.desk.waiting)
+            .into_iter()
+            .partition(|asked| asked.needs <= current && asked.not_before <= now);
+        self.desk.waiting = waiting;
+        for asked in ready {
+            self.resume(asked);
+        }
+    }
+
+    fn resume(&mut self, mut asked: Asked) {
+        let create =
+            matches!(&asked.what, UserRequest::Submit(id, _) if self.view.job(id).is_none());
+        if create {
+            asked.created = false;
+            self.create(asked);
+        } else {
+            self.settle(asked);
+        }
+    }
+
+    pub(super) fn desk_timeouts(&mut self) {
+        let now = self.io.now;
+        let has_state = self.has_state();
+        let silence = self.view.state_silence(now);
+        let mut index = 0;
+        while index < self.desk.waiting.len() {
+            let asked = &self.desk.waiting[index];
+            let wait = match asked.what {
+                UserRequest::Poll(_) => POLL_WAIT,
+                UserRequest::Submit(..) | UserRequest::Cancel(_) => WRITE_WAIT,
+            };
+            let late = now > asked.asked + wait || (!has_state && silence > POLL_WAIT);
+            let put_off = asked.not_before > asked.asked && asked.not_before <= now;
+            if late {
+                let asked = self.desk.waiting.swap_remove(index);
+                self.give_up(asked);
+            } else if put_off && self.view.current_as_of >= asked.needs {
+                let asked = self.desk.waiting.swap_remove(index);
+                self.resume(asked);
+            } else {
+                index += 1;
+            }
+        }
+        if !self.desk.waiting.is_empty() {
+            self.view.want_sync();
+        }
+    }
+}
+
+/// What a job needs at once at the least, against its team's limit.
+pub fn least_need(spec: &JobSpec) -> (f64, f64) {
+    let tasks = match spec.kind {
+        Kind::Array => 1.0,
+        Kind::Gang | Kind::Service => f64::from(spec.tasks),
+    };
+    (spec.cpus * tasks, spec.gpus * tasks)
+}
--- /dev/null
+++ b/src/core/io.rs
@@ -0,0 +1,102 @@
+//! The effects of a step, and what is to be done with each call's reply.
+
+use super::authority::AuthorityCall;
+use super::desk::DeskCall;
+use super::lead::LeadCall;
+use super::peers::{MeshMessage, MeshReply};
+use super::supply::SupplyCall;
+use super::{Answer, CallId, CloudCall, Effect, RequestId, StateCall, Time};
+use crate::ids::{Attempt, MachineId, Node, TaskId, Term};
+use crate::wire::DirectOrders;
+use rand::Rng;
+use rand::rngs::StdRng;
+use std::collections::HashMap;
+
+/// What a reply belongs to.
+#[derive(Debug)]
+pub enum Pending {
+    Sync { sent: Time },
+    Desk(DeskCall),
+    Authority(AuthorityCall),
+    Lead(Term, LeadCall),
+    Orders { machine: MachineId, sent: Vec<(TaskId, Attempt)> },
+    Hello { node: Node, sent: Time },
+    Relay { request: RequestId },
+    Notice,
+    Cloud(SupplyCall),
+}
+
+pub struct Io {
+    pub now: Time,
+    pub wall_ms: u64,
+    rng: StdRng,
+    next_call: u64,
+    calls: HashMap<CallId, Pending>,
+    effects: Vec<Effect>,
+}
+
+impl Io {
+    pub fn new(rng: StdRng) -> Self {
+        let (calls, effects) = (HashMap::new(), Vec::new());
+        Self { now: 0.0, wall_ms: 0, rng, next_call: 0, calls, effects }
+    }
+
+    pub fn begin(&mut self, now: Time, wall_ms: u64) {
+        self.now = now;
+        self.wall_ms = wall_ms;
+    }
+
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    pub fn finish(&mut self, call: CallId) -> Option<Pending> {
+        self.calls.remove(&call)
+    }
+
+    fn call(&mut self, pending: Pending) -> CallId {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        self.calls.insert(call, pending);
+        call
+    }
+
+    pub fn answer(&mut self, request: RequestId, answer: Answer) {
+        self.effects.push(Effect::Answer(request, answer));
+    }
+
+    pub fn mesh_answer(&mut self, request: RequestId, reply: MeshReply) {
+        self.effects.push(Effect::MeshAnswer(request, reply));
+    }
+
+    pub fn state(&mut self, pending: Pending, what: StateCall) {
+        let call = self.call(pending);
+        self.effects.push(Effect::State(call, what));
+    }
+
+    pub fn cloud(&mut self, pending: SupplyCall, what: CloudCall) {
+        let call = self.call(Pending::Cloud(pending));
+        self.effects.push(Effect::Cloud(call, what));
+    }
+
+    pub fn worker(
+        &mut self,
+        machine: &MachineId,
+        address: &str,
+        sent: Vec<(TaskId, Attempt)>,
+        orders: DirectOrders,
+    ) {
+        let call = self.call(Pending::Orders { machine: machine.clone(), sent });
+        self.effects.push(Effect::Worker(call, address.to_owned(), orders));
+    }
+
+    pub fn mesh(&mut self, pending: Pending, node: &Node, message: MeshMessage) {
+        let call = self.call(pending);
+        self.effects.push(Effect::Mesh(call, node.clone(), message));
+    }
+
+    /// `seconds`, give or take a quarter, so that controllers do not act in step.
+    pub fn jitter(&mut self, seconds: Time) -> Time {
+        seconds * self.rng.random_range(0.75..1.25)
+    }
+}
--- /dev/null
+++ b/src/core/jobs.rs
@@ -0,0 +1,174 @@
+//! An unfinished job as the leader runs it.
+
+use super::Time;
+use super::placement::Room;
+use super::ranges::Ranges;
+use super::view::JobRecord;
+use crate::ids::{Attempt, MachineId, Version, Zone};
+use crate::wire::{JobSpec, Kind};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Task {
+    /// May be on a machine that has not reported to this leader yet.
+    Unsettled,
+    Waiting,
+    /// On this machine, or perhaps on it.
+    Placed(MachineId, Attempt),
+    Done,
+}
+
+/// Why a task has to wait before it is tried again.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Retry {
+    pub failures: u32,
+    pub not_before: Time,
+}
+
+pub struct Job {
+    pub spec: Rc<JobSpec>,
+    pub record: Rc<JobRecord>,
+    pub version: Version,
+    /// When it was submitted, on this process's clock.
+    pub submitted: Time,
+    tasks: Vec<Task>,
+    waiting: BTreeSet<u32>,
+    unsettled: u32,
+    pub done: Ranges,
+    pub retries: BTreeMap<u32, Retry>,
+    /// Tasks that may be in each zone.
+    pub zones: BTreeMap<Zone, u32>,
+    /// Machines that its tasks failed on.
+    pub failed_on: BTreeSet<MachineId>,
+    /// Since when progress is not recorded.
+    pub dirty: Option<Time>,
+    pub write_out: bool,
+    pub write_after: Time,
+    /// Some of its tasks have run before: what waits now was lost.
+    pub began: bool,
+}
+
+impl Job {
+    pub fn new(
+        spec: Rc<JobSpec>,
+        record: Rc<JobRecord>,
+        version: Version,
+        submitted: Time,
+        settled: bool,
+    ) -> Self {
+        let fresh = if settled { Task::Waiting } else { Task::Unsettled };
+        let done = record.done.clone();
+        let tasks: Vec<Task> = (0..spec.tasks)
+            .map(|index| if done.contains(index) { Task::Done } else { fresh.clone() })
+            .collect();
+        let open = |task: &Task| *task == Task::Waiting;
+        let waiting = (0..).zip(&tasks).filter(|(_, t)| open(t)).map(|(i, _)| i).collect();
+        let unsettled = tasks.iter().filter(|t| **t == Task::Unsettled).count() as u32;
+        Self {
+            spec,
+            record,
+            version,
+            submitted,
+            tasks,
+            waiting,
+            unsettled,
+            done,
+            retries: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            failed_on: BTreeSet::new(),
+            dirty: None,
+            write_out: false,
+            write_after: 0.0,
+            began: false,
+        }
+    }
+
+    pub fn need(&self) -> Room {
+        let spec = &self.spec;
+        Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+    }
+
+    pub fn task(&self, index: u32) -> Option<&Task> {
+        self.tasks.get(index as usize)
+    }
+
+    /// Changes a task's state; a done task stays done. `zone`: of the machine it is on.
+    pub fn set(&mut self, index: u32, task: Task, zone: Option<&Zone>) {
+        let Some(slot) = self.tasks.get_mut(index as usize) else { return };
+        if *slot == Task::Done {
+            return;
+        }
+        let before = std::mem::replace(slot, task);
+        match before {
+            Task::Waiting => {
+                self.waiting.remove(&index);
+            }
+            Task::Unsettled => self.unsettled -= 1,
+            Task::Placed(..) | Task::Done => {}
+        }
+        match &self.tasks[index as usize] {
+            Task::Waiting => {
+                self.waiting.insert(index);
+            }
+            Task::Unsettled => self.unsettled += 1,
+            Task::Done => self.done.insert(index),
+            Task::Placed(..) => {}
+        }
+        if let Some(zone) = zone {
+            let in_zone = self.zones.entry(zone.clone()).or_default();
+            match &self.tasks[index as usize] {
+                Task::Placed(..) => *in_zone += 1,
+                _ => *in_zone = in_zone.saturating_sub(1),
+            }
+        }
+    }
+
+    /// All machines have told what they hold: what nobody showed is nowhere.
+    pub fn settle(&mut self) {
+        if self.unsettled > 0 {
+            for index in 0..self.spec.tasks {
+                if self.tasks[index as usize] == Task::Unsettled {
+                    self.set(index, Task::Waiting, None);
+                }
+            }
+        }
+    }
+
+    pub fn unsettled(&self) -> u32 {
+        self.unsettled
+    }
+
+    pub fn waiting(&self) -> &BTreeSet<u32> {
+        &self.waiting
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.done.len() == self.spec.tasks
+    }
+
+    pub fn is_gang(&self) -> bool {
+        self.spec.kind == Kind::Gang
+    }
+
+    pub fn placed(&self) -> u32 {
+        self.spec.tasks - self.done.len() - self.waiting.len() as u32 - self.unsettled
+    }
+
+    /// Whether the zone rules allow one more task in `zone`, given where its tasks may be.
+    pub fn zone_allows(&self, zone: &Zone, more: &BTreeMap<Zone, u32>) -> bool {
+        if self.spec.zone.as_ref().is_some_and(|only| only != zone) {
+            return false;
+        }
+        let count = |zone: &Zone| {
+            self.zones.get(zone).copied().unwrap_or(0) + more.get(zone).copied().unwrap_or(0)
+        };
+        if self.spec.one_zone {
+            let mut others = self.zones.keys().chain(more.keys()).filter(|other| *other != zone);
+            if others.any(|other| count(other) > 0) {
+                return false;
+            }
+        }
+        !self.spec.spread || count(zone) < self.spec.tasks.div_ceil(2)
+    }
+}
--- /dev/null
+++ b/src/core/machines.rs
@@ -0,0 +1,361 @@
+//! A machine as its owner knows it, and what may be on it.
+
+use super::Time;
+use super::placement::Room;
+use crate::ids::{Attempt, Image, JobId, MachineId, TaskId, Team, Term, TypeName, Zone};
+use crate::wire::{Exit, MachineType, Order, Priority, Report, TaskState};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Fetches run at the published rate, give or take a third.
+const FETCH_SLOWNESS: f64 = 1.2;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Phase {
+    /// A start was issued; no report has shown it yet.
+    Issued,
+    Seen(TaskState),
+    Exited(Exit),
+}
+
+/// One attempt of a task that may be on the machine.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// What it takes; None if its job is not known (any more).
+    pub room: Option<Room>,
+    pub team: Option<Team>,
+    pub image: Option<(Image, f64)>,
+    pub priority: Priority,
+    pub phase: Phase,
+    pub issued: Time,
+    /// When it was first seen with its image.
+    pub began: Option<Time>,
+    /// Grace of the stop it was told.
+    pub stop: Option<f64>,
+    /// Its exit needs no remembering: recorded, or of no consequence.
+    pub forget: bool,
+    /// A direct send is out.
+    pub direct_out: bool,
+    /// A direct send under this token got no answer and may still arrive.
+    pub may_arrive: Option<Term>,
+    /// It was in an answer to a report.
+    pub in_answer: bool,
+    /// Reports since the start was issued that did not show it.
+    pub misses: u32,
+}
+
+impl Held {
+    pub fn new(now: Time) -> Self {
+        Self {
+            room: None,
+            team: None,
+            image: None,
+            priority: Priority::Low,
+            phase: Phase::Issued,
+            issued: now,
+            began: None,
+            stop: None,
+            forget: false,
+            direct_out: false,
+            may_arrive: None,
+            in_answer: false,
+            misses: 0,
+        }
+    }
+
+    pub fn exited(&self) -> bool {
+        matches!(self.phase, Phase::Exited(_))
+    }
+
+    pub fn has_image(&self) -> bool {
+        use TaskState::{Running, Saving, Waiting};
+        matches!(self.phase, Phase::Seen(Waiting | Running | Saving))
+    }
+}
+
+pub struct Machine {
+    pub id: MachineId,
+    pub address: String,
+    pub type_name: TypeName,
+    pub zone: Zone,
+    pub spot: bool,
+    pub total: Room,
+    pub fetch_rate: f64,
+    cache_gb: f64,
+    pub session: u64,
+    /// Newest message of the session taken up, and newest report among them.
+    seq: u64,
+    checkin: u64,
+    /// Sessions up to this one are over: their tasks are counted as gone.
+    pub over: u64,
+    /// The token it must show.
+    pub token: Term,
+    /// A report of this session has shown the token.
+    pub trusted: bool,
+    /// When a report of it was last answered with 200; its lease cannot outlast this by more
+    /// than the lease's length.
+    pub answered: Time,
+    /// It is in the stored map.
+    pub mapped: bool,
+    /// When the cloud takes it away.
+    pub leaves: Option<Time>,
+    pub on: BTreeMap<(TaskId, Attempt), Held>,
+    /// Most recently used last.
+    images: Vec<(Image, f64)>,
+    pub idle_since: Time,
+    /// Commands do not seem to reach it.
+    pub suspect: bool,
+    pub releasing: bool,
+    /// It is to get a fresh token, so that what may still be under way to it is void.
+    pub raise: bool,
+    /// Jobs that failed on it.
+    pub failed_jobs: BTreeSet<JobId>,
+    /// Not to be used before this time.
+    pub aside_until: Time,
+    pub seen: Time,
+}
+
+/// Whether a report is news.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Freshness {
+    News {
+        new_session: bool,
+    },
+    /// Live, but something newer of the same session has been taken up.
+    Overtaken,
+    Copy,
+}
+
+impl Machine {
+    /// Known only by name: from the map of an earlier leader.
+    pub fn named(id: MachineId, token: Term, now: Time) -> Self {
+        Self {
+            id,
+            address: String::new(),
+            type_name: "".into(),
+            zone: "".into(),
+            spot: false,
+            total: Room::default(),
+            fetch_rate: 0.0,
+            cache_gb: 0.0,
+            session: 0,
+            seq: 0,
+            checkin: 0,
+            over: 0,
+            token,
+            trusted: false,
+            answered: now,
+            mapped: false,
+            leaves: None,
+            on: BTreeMap::new(),
+            images: Vec::new(),
+            idle_since: now,
+            suspect: false,
+            releasing: false,
+            raise: false,
+            failed_jobs: BTreeSet::new(),
+            aside_until: 0.0,
+            seen: now,
+        }
+    }
+
+    pub fn describe(&mut self, report: &Report, types: &[MachineType]) {
+        if self.address != report.address {
+            self.address.clone_from(&report.address);
+        }
+        self.type_name = report.type_name.clone();
+        self.zone = report.zone.clone();
+        self.spot = report.spot;
+        self.set_type(types);
+    }
+
+    pub fn set_type(&mut self, types: &[MachineType]) {
+        if let Some(of_type) = types.iter().find(|t| t.name == self.type_name) {
+            self.total =
+                Room { cpus: of_type.cpus, gpus: of_type.gpus, memory_gb: of_type.memory_gb };
+            self.fetch_rate = of_type.fetch_gb_per_s;
+            self.cache_gb = of_type.cache_gb;
+        }
+    }
+
+    /// Orders messages by (session, seq). `direct`: the answer to a direct command.
+    pub fn freshness(&mut self, report: &Report, direct: bool) -> Freshness {
+        if report.session < self.session || report.session <= self.over {
+            return Freshness::Copy;
+        }
+        let new_session = report.session > self.session;
+        if new_session {
+            self.session = report.session;
+            self.seq = 0;
+            self.checkin = 0;
+        }
+        if !direct {
+            if report.seq <= self.checkin {
+                return Freshness::Copy;
+            }
+            self.checkin = report.seq;
+        }
+        if report.seq <= self.seq {
+            return Freshness::Overtaken;
+        }
+        self.seq = report.seq;
+        Freshness::News { new_session }
+    }
+
+    /// Everything on it is gone, and nothing of its present session will count again.
+    pub fn end_session(&mut self) {
+        self.over = self.session;
+        self.trusted = false;
+    }
+
+    pub fn free(&self) -> Room {
+        let mut free = self.total;
+        for held in self.on.values().filter(|held| !held.exited()) {
+            match &held.room {
+                Some(room) => free = free.less(room),
+                None => return Room::default(),
+            }
+        }
+        free
+    }
+
+    /// Room as it will be once everything that was told to stop has gone.
+    pub fn free_after_stops(&self) -> Room {
+        let mut free = self.total;
+        for held in self.on.values().filter(|held| !held.exited() && held.stop.is_none()) {
+            match &held.room {
+                Some(room) => free = free.less(room),
+                None => return Room::default(),
+            }
+        }
+        free
+    }
+
+    pub fn idle(&self) -> bool {
+        self.on.values().all(Held::exited)
+    }
+
+    /// May be given tasks.
+    pub fn usable(&self, now: Time) -> bool {
+        self.trusted
+            && self.mapped
+            && !self.suspect
+            && !self.releasing
+            && !self.raise
+            && self.leaves.is_none()
+            && now >= self.aside_until
+    }
+
+    pub fn used_image(&mut self, image: &Image, gb: f64) {
+        if let Some(at) = self.images.iter().position(|(known, _)| known == image) {
+            let entry = self.images.remove(at);
+            self.images.push(entry);
+            return;
+        }
+        self.images.push((image.clone(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > self.cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    pub fn has_image(&self, image: &Image) -> bool {
+        self.images.iter().any(|(known, _)| known == image)
+    }
+
+    pub fn forget_images(&mut self) {
+        self.images.clear();
+    }
+
+    /// Seconds until a task that needs this image could run here.
+    pub fn ready_in(&self, image: &Image, gb: f64, now: Time) -> Time {
+        if self.has_image(image) || gb <= 0.0 {
+            return 0.0;
+        }
+        if self.fetch_rate <= 0.0 {
+            return Time::INFINITY;
+        }
+        let alone = gb / self.fetch_rate * FETCH_SLOWNESS;
+        let mut fetching: BTreeMap<&Image, Time> = BTreeMap::new();
+        for held in self.on.values().filter(|h| !h.exited() && !h.has_image()) {
+            if let Some((other, _)) = &held.image {
+                let since = fetching.entry(other).or_insert(held.issued);
+                *since = since.min(held.issued);
+            }
+        }
+        match fetching.get(image) {
+            Some(since) => {
+                let shared = alone * fetching.len() as f64;
+                (shared - (now - since)).max(shared * 0.1)
+            }
+            None => alone * (fetching.len() + 1) as f64,
+        }
+    }
+
+    /// What its next message should tell it.
+    pub fn orders(&self) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for ((task, attempt), held) in &self.on {
+            let (task, attempt) = (task.to_string(), *attempt);
+            match (&held.phase, held.stop) {
+                (Phase::Issued, None) => orders.push(Order::Start { task, attempt }),
+                (Phase::Issued | Phase::Seen(_), Some(grace_s)) => {
+                    orders.push(Order::Stop { task, attempt, grace_s });
+                }
+                // While a start may still arrive, forgetting would let it start again.
+                (Phase::Exited(_), _) if held.forget && held.may_arrive.is_none() => {
+                    orders.push(Order::Forget { task, attempt });
+                }
+                _ => {}
+            }
+        }
+        orders
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn report(session: u64, seq: u64) -> Report {
+        Report {
+            machine: "m-1".into(),
+            address: "a".into(),
+            type_name: "g".into(),
+            zone: "z".into(),
+            spot: false,
+            session,
+            seq,
+            token: Term(1),
+            notice_s: None,
+            tasks: Vec::new(),
+        }
+    }
+
+    /// Copies of reports arrive seconds to minutes late; they must prove nothing.
+    #[test]
+    fn copies_and_old_reports_are_recognised() {
+        let mut machine = Machine::named("m-1".into(), Term(1), 0.0);
+        assert_eq!(machine.freshness(&report(1, 5), false), Freshness::News { new_session: true });
+        assert_eq!(machine.freshness(&report(1, 5), false), Freshness::Copy);
+        assert_eq!(machine.freshness(&report(1, 8), true), Freshness::News { new_session: false });
+        assert_eq!(machine.freshness(&report(1, 7), false), Freshness::Overtaken);
+        assert_eq!(machine.freshness(&report(1, 6), false), Freshness::Copy);
+        machine.end_session();
+        assert_eq!(machine.freshness(&report(1, 99), false), Freshness::Copy);
+        assert_eq!(machine.freshness(&report(2, 1), false), Freshness::News { new_session: true });
+    }
+
+    #[test]
+    fn the_least_recently_used_image_leaves_the_cache() {
+        let mut machine = Machine::named("m-1".into(), Term(1), 0.0);
+        machine.cache_gb = 100.0;
+        machine.fetch_rate = 2.0;
+        for image in ["a", "b", "a", "c"] {
+            machine.used_image(&image.into(), 40.0);
+        }
+        assert!(machine.has_image(&"a".into()) && machine.has_image(&"c".into()));
+        assert!(!machine.has_image(&"b".into()));
+        assert!(machine.ready_in(&"b".into(), 40.0, 0.0) > 20.0);
+        assert_eq!(machine.ready_in(&"a".into(), 40.0, 0.0), 0.0);
+    }
+}
--- /dev/null
+++ b/src/core/placement.rs
@@ -0,0 +1,134 @@
+//! Best fit: among the machines that suffice, the one whose remaining GPU room is the smallest;
+//! ties, and tasks without GPUs, go to the machine left with the lowest weighted sum of free CPU
+//! and memory fractions. Pure: it looks at candidates and picks one.
+
+use super::Time;
+
+/// Rounding of amounts never makes room that is not there, nor hides room that is.
+const EPSILON: f64 = 1e-6;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+impl Room {
+    pub fn less(&self, taken: &Room) -> Room {
+        Room {
+            cpus: self.cpus - taken.cpus,
+            gpus: self.gpus - taken.gpus,
+            memory_gb: self.memory_gb - taken.memory_gb,
+        }
+    }
+
+    pub fn plus(&self, given: &Room) -> Room {
+        Room {
+            cpus: self.cpus + given.cpus,
+            gpus: self.gpus + given.gpus,
+            memory_gb: self.memory_gb + given.memory_gb,
+        }
+    }
+
+    pub fn min(&self, other: &Room) -> Room {
+        Room {
+            cpus: self.cpus.min(other.cpus),
+            gpus: self.gpus.min(other.gpus),
+            memory_gb: self.memory_gb.min(other.memory_gb),
+        }
+    }
+
+    pub fn holds(&self, need: &Room) -> bool {
+        need.cpus <= self.cpus + EPSILON
+            && need.gpus <= self.gpus + EPSILON
+            && need.memory_gb <= self.memory_gb + EPSILON
+    }
+}
+
+/// Weights of the tie-break.
+#[derive(Clone, Copy, Debug)]
+pub struct Weights {
+    pub cpu: f64,
+    pub memory: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self { cpu: 0.5, memory: 0.5 }
+    }
+}
+
+/// A machine that satisfies the task's rules.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    pub free: Room,
+    pub total: Room,
+    /// Seconds until the task could run there.
+    pub ready_in: Time,
+}
+
+/// Picks a candidate. One that could not run the task within `slack` does not suffice while
+/// another does; if none does, the soonest ones are left to choose from.
+pub fn best_fit(
+    need: &Room,
+    candidates: &[Candidate],
+    slack: Time,
+    weights: Weights,
+) -> Option<usize> {
+    let fits = |c: &&Candidate| c.free.holds(need);
+    let soonest = candidates.iter().filter(fits).map(|c| c.ready_in).min_by(Time::total_cmp)?;
+    // Times are estimates: those within a tenth of the soonest are as good.
+    let limit = if soonest <= slack { slack } else { soonest * 1.1 };
+    let suffices = |(_, c): &(usize, &Candidate)| c.free.holds(need) && c.ready_in <= limit;
+    let key = |c: &Candidate| {
+        let left = c.free.less(need);
+        let fraction = |left: f64, total: f64| if total > 0.0 { left / total } else { 0.0 };
+        let rest = weights.cpu * fraction(left.cpus, c.total.cpus)
+            + weights.memory * fraction(left.memory_gb, c.total.memory_gb);
+        (if need.gpus > 0.0 { left.gpus } else { 0.0 }, rest)
+    };
+    let all = candidates.iter().enumerate().filter(suffices);
+    all.min_by(|(_, a), (_, b)| {
+        let (a, b) = (key(a), key(b));
+        a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
+    })
+    .map(|(index, _)| index)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn candidate(gpus: f64, cpus: f64, ready_in: Time) -> Candidate {
+        let total = Room { cpus: 32.0, gpus: 8.0, memory_gb: 100.0 };
+        Candidate { free: Room { cpus, gpus, memory_gb: 50.0 }, total, ready_in }
+    }
+
+    const NEED: Room = Room { cpus: 4.0, gpus: 2.0, memory_gb: 10.0 };
+
+    fn pick(candidates: &[Candidate], slack: Time) -> Option<usize> {
+        best_fit(&NEED, candidates, slack, Weights::default())
+    }
+
+    #[test]
+    fn least_gpu_room_that_suffices_wins() {
+        let all = [candidate(8.0, 32.0, 0.0), candidate(3.0, 32.0, 0.0), candidate(1.0, 32.0, 0.0)];
+        assert_eq!(pick(&all, 10.0), Some(1));
+        assert_eq!(pick(&all[2..], 10.0), None, "GPU room is never overbooked");
+        assert_eq!(pick(&[candidate(4.0, 3.0, 0.0)], 10.0), None, "nor are CPUs");
+    }
+
+    #[test]
+    fn ties_go_to_the_machine_left_with_least_cpu_and_memory() {
+        assert_eq!(pick(&[candidate(4.0, 30.0, 0.0), candidate(4.0, 8.0, 0.0)], 10.0), Some(1));
+    }
+
+    #[test]
+    fn a_machine_that_is_ready_too_late_does_not_suffice() {
+        let all = [candidate(2.0, 8.0, 30.0), candidate(8.0, 32.0, 5.0)];
+        assert_eq!(pick(&all, 10.0), Some(1));
+        assert_eq!(pick(&all, 40.0), Some(0));
+        assert_eq!(pick(&all, 1.0), Some(1), "if none suffices, the soonest");
+    }
+}
--- /dev/null
+++ b/src/core/preempt.rs
@@ -0,0 +1,133 @@
+//! Making room: which running tasks are stopped so that one of higher priority, or one that its
+//! team is guaranteed, can run. The cheapest loss goes first, and every task that can save its
+//! progress gets the time to.
+
+use super::Time;
+use super::lead::Lead;
+use super::machines::{Held, Machine};
+use super::placement::Room;
+use super::quota::Usage;
+use super::schedule::{Slot, allowed, limits};
+use crate::ids::{Attempt, JobId, MachineId, TaskId, Zone};
+use crate::wire::Kind;
+use std::collections::BTreeMap;
+
+pub struct Stop {
+    pub machine: MachineId,
+    pub task: TaskId,
+    pub attempt: Attempt,
+    pub grace: f64,
+}
+
+/// What stopping a task loses, in seconds of its work.
+fn loss(lead: &Lead, task: &TaskId, held: &Held, now: Time) -> Option<(Time, f64)> {
+    let job = lead.jobs.get(&task.job)?;
+    let ran = held.began.map_or(0.0, |began| now - began);
+    let saves = job.spec.checkpoint_s > 0.0;
+    Some(match job.spec.kind {
+        // A replica that stops is missed until it is up elsewhere.
+        Kind::Service => (ran.min(lead.config.deployment.workers.cancel_s) + 1.0, 0.0),
+        _ if held.began.is_none() => (0.0, 0.0),
+        _ if saves => (job.spec.save_s, job.spec.save_s),
+        _ => (ran, 0.0),
+    })
+}
+
+/// Picks what to stop for `count` tasks of a job that found no room.
+pub fn make_room(
+    lead: &Lead,
+    id: &JobId,
+    count: usize,
+    slots: &mut [Slot],
+    usage: &Usage,
+    now: Time,
+) -> Vec<Stop> {
+    let Some(job) = lead.jobs.get(id) else { return Vec::new() };
+    let need = job.need();
+    let guaranteed = limits(&lead.config, &job.spec)
+        .is_some_and(|limits| usage.guaranteed(limits, need.cpus, need.gpus));
+    let yields = |task: &TaskId, held: &Held| -> bool {
+        if held.exited() || held.stop.is_some() || task.job == *id {
+            return false;
+        }
+        if held.priority < job.spec.priority {
+            return true;
+        }
+        let Some(other) = lead.jobs.get(&task.job) else { return false };
+        let Some(theirs) = limits(&lead.config, &other.spec) else { return false };
+        guaranteed
+            && other.spec.team != job.spec.team
+            && !usage.guaranteed(theirs, 0.0, 0.0)
+            && (theirs.gpus > 0.0 || theirs.cpus > 0.0)
+            && other.spec.kind != Kind::Service
+    };
+    let mut stops = Vec::new();
+    let mut in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
+    for _ in 0..count {
+        let mut best: Option<(Time, usize, Vec<Stop>)> = None;
+        for (index, slot) in slots.iter().enumerate() {
+            if slot.reserved
+                || !slot.total.holds(&need)
+                || !allowed(&job.spec, &slot.type_name, &slot.zone, slot.spot)
+                || !job.zone_allows(&slot.zone, &in_zone)
+            {
+                continue;
+            }
+            let Some(machine) = lead.machines.get(&slot.id) else { continue };
+            if let Some((cost, victims)) = cheapest(lead, machine, slot.later, &need, &yields, now)
+                && best.as_ref().is_none_or(|(least, _, _)| cost < *least)
+            {
+                best = Some((cost, index, victims));
+            }
+        }
+        let Some((_, index, victims)) = best else { break };
+        let slot = &mut slots[index];
+        for victim in &victims {
+            if let Some(room) = lead.machines[&victim.machine]
+                .on
+                .get(&(victim.task.clone(), victim.attempt))
+                .and_then(|held| held.room)
+            {
+                slot.later = slot.later.plus(&room);
+            }
+        }
+        // What is being freed is spoken for.
+        slot.later = slot.later.less(&need);
+        slot.free = slot.free.min(&slot.later);
+        *in_zone.entry(slot.zone.clone()).or_default() += 1;
+        stops.extend(victims);
+    }
+    stops
+}
+
+/// The cheapest set of tasks on a machine whose end makes room, with what it loses.
+fn cheapest(
+    lead: &Lead,
+    machine: &Machine,
+    mut later: Room,
+    need: &Room,
+    yields: &dyn Fn(&TaskId, &Held) -> bool,
+    now: Time,
+) -> Option<(Time, Vec<Stop>)> {
+    let mut victims: Vec<(Time, Stop, Room)> = Vec::new();
+    for ((task, attempt), held) in &machine.on {
+        if let (true, Some(room), Some((cost, grace))) =
+            (yields(task, held), held.room, loss(lead, task, held, now))
+        {
+            let stop =
+                Stop { machine: machine.id.clone(), task: task.clone(), attempt: *attempt, grace };
+            victims.push((cost, stop, room));
+        }
+    }
+    victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let (mut cost, mut stops) = (0.0, Vec::new());
+    for (loses, stop, room) in victims {
+        if later.holds(need) {
+            break;
+        }
+        later = later.plus(&room);
+        cost += loses;
+        stops.push(stop);
+    }
+    later.holds(need).then_some((cost, stops))
+}
--- /dev/null
+++ b/src/core/quota.rs
@@ -0,0 +1,60 @@
+//! Teams' guarantees and limits, against everything that may be on a machine.
+
+use crate::config::TeamLimits;
+use crate::ids::Team;
+use std::collections::BTreeMap;
+
+const EPSILON: f64 = 1e-6;
+
+/// What each team may be using at this moment.
+#[derive(Debug, Default)]
+pub struct Usage(BTreeMap<Team, (f64, f64)>);
+
+impl Usage {
+    pub fn add(&mut self, team: &Team, cpus: f64, gpus: f64) {
+        let used = self.0.entry(team.clone()).or_default();
+        used.0 += cpus;
+        used.1 += gpus;
+    }
+
+    fn of(&self, team: &Team) -> (f64, f64) {
+        self.0.get(team).copied().unwrap_or_default()
+    }
+
+    /// Whether the team may use this much more without passing its limit.
+    pub fn allows(&self, limits: &TeamLimits, cpus: f64, gpus: f64) -> bool {
+        let used = self.of(&limits.name);
+        within(used.0 + cpus, limits.cpus_max) && within(used.1 + gpus, limits.gpus_max)
+    }
+
+    /// Whether the team, with this much more, stays inside what it is guaranteed.
+    pub fn guaranteed(&self, limits: &TeamLimits, cpus: f64, gpus: f64) -> bool {
+        let used = self.of(&limits.name);
+        let inside = |used: f64, guarantee: f64| guarantee > 0.0 && used <= guarantee + EPSILON;
+        let named = limits.cpus > 0.0 || limits.gpus > 0.0;
+        named
+            && (limits.cpus == 0.0 || inside(used.0 + cpus, limits.cpus))
+            && (limits.gpus == 0.0 || inside(used.1 + gpus, limits.gpus))
+    }
+}
+
+/// 0 means no limit.
+pub fn within(used: f64, limit: f64) -> bool {
+    limit == 0.0 || used <= limit + EPSILON
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn limits_hold_and_zero_means_none() {
+        let limits =
+            TeamLimits { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 4.0, gpus_max: 8.0 };
+        let mut usage = Usage::default();
+        assert!(usage.allows(&limits, 1e9, 8.0) && usage.guaranteed(&limits, 1e9, 4.0));
+        usage.add(&"t".into(), 2.0, 6.0);
+        assert!(usage.allows(&limits, 2.0, 2.0) && !usage.allows(&limits, 2.0, 2.5));
+        assert!(!usage.guaranteed(&limits, 0.0, 0.0));
+    }
+}
--- /dev/null
+++ b/src/core/schedule.rs
@@ -0,0 +1,277 @@
+//! A round of placement: which waiting tasks start where, in what order.
+
+use super::Time;
+use super::jobs::Job;
+use super::lead::Lead;
+use super::placement::{Candidate, Room, best_fit};
+use super::preempt;
+use crate::config::{Config, TeamLimits};
+use crate::ids::{Image, JobId, MachineId, TypeName, Zone};
+use crate::wire::JobSpec;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A machine during a round, with what the round has taken off it already.
+pub struct Slot {
+    pub id: MachineId,
+    pub type_name: TypeName,
+    pub zone: Zone,
+    pub spot: bool,
+    pub total: Room,
+    pub free: Room,
+    /// Free once everything that was told to stop has gone.
+    pub later: Room,
+    /// Kept for a job that needs it whole.
+    pub reserved: bool,
+}
+
+/// Starts issued in one round at most; the next follows at once.
+const STARTS_PER_ROUND: usize = 200;
+
+/// Whether a machine of this type, zone and kind may run the job at all.
+pub fn allowed(spec: &JobSpec, type_name: &TypeName, zone: &Zone, spot: bool) -> bool {
+    (spec.spot || !spot)
+        && spec.types.as_ref().is_none_or(|types| types.contains(type_name))
+        && spec.zone.as_ref().is_none_or(|only| only == zone)
+}
+
+/// Where a job stands in the queue: smaller is sooner.
+#[derive(PartialEq)]
+struct Rank {
+    priority: std::cmp::Reverse<crate::wire::Priority>,
+    beyond_guarantee: bool,
+    due: Time,
+}
+
+/// When a job's start becomes late.
+pub fn due(config: &Config, job: &Job) -> Time {
+    let spec = &job.spec;
+    let wait = config.wait_objective(&spec.class);
+    let finish = config.finish_objective(&spec.class).or(spec.deadline_s);
+    let finish = finish.map(|within| within - spec.estimate_s);
+    let within = [wait, finish].into_iter().flatten().min_by(Time::total_cmp);
+    // Without an objective, work is due one cancellation time after it came.
+    job.submitted + within.unwrap_or(config.deployment.workers.cancel_s)
+}
+
+pub fn limits<'a>(config: &'a Config, spec: &JobSpec) -> Option<&'a TeamLimits> {
+    config.deployment.teams.iter().find(|team| team.name == spec.team)
+}
+
+impl Lead {
+    pub(super) fn slots(&self, now: Time) -> Vec<Slot> {
+        let usable = self.machines.values().filter(|m| m.usable(now));
+        usable
+            .map(|m| Slot {
+                id: m.id.clone(),
+                type_name: m.type_name.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                total: m.total,
+                free: m.free(),
+                later: m.free_after_stops(),
+                reserved: false,
+            })
+            .collect()
+    }
+
+    /// Jobs with tasks that wait, in the order in which they are served.
+    pub(super) fn queue(&self, now: Time) -> Vec<JobId> {
+        let usage = self.usage();
+        let mut queue: Vec<(Rank, Time, &JobId)> = Vec::new();
+        for (id, job) in &self.jobs {
+            let zoned = job.spec.spread || job.spec.one_zone || job.is_gang();
+            if job.waiting().is_empty() || (job.unsettled() > 0 && zoned) {
+                continue;
+            }
+            let need = job.need();
+            let guaranteed = limits(&self.config, &job.spec)
+                .is_some_and(|limits| usage.guaranteed(limits, need.cpus, need.gpus));
+            let rank = Rank {
+                priority: std::cmp::Reverse(job.spec.priority),
+                beyond_guarantee: !guaranteed,
+                due: due(&self.config, job).max(now),
+            };
+            queue.push((rank, job.submitted, id));
+        }
+        queue.sort_by(|(a, a_age, _), (b, b_age, _)| {
+            (a.priority.cmp(&b.priority))
+                .then(a.beyond_guarantee.cmp(&b.beyond_guarantee))
+                .then(a.due.total_cmp(&b.due))
+                .then(a_age.total_cmp(b_age))
+        });
+        queue.into_iter().map(|(_, _, id)| id.clone()).collect()
+    }
+
+    pub(super) fn schedule(&mut self, now: Time) {
+        let mut slots = self.slots(now);
+        let mut usage = self.usage();
+        let mut starts = 0;
+        for id in self.queue(now) {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(limits) = limits(&self.config, &job.spec).cloned() else { continue };
+            let need = job.need();
+            let ready = |index: &u32| job.retries.get(index).is_none_or(|r| r.not_before <= now);
+            let waiting: Vec<u32> =
+                job.waiting().iter().copied().filter(ready).take(STARTS_PER_ROUND).collect();
+            let whole = job.is_gang();
+            if waiting.is_empty() || (whole && waiting.len() as u32 != job.spec.tasks) {
+                continue;
+            }
+            let room = (1..=waiting.len())
+                .take_while(|n| {
+                    let n = *n as f64;
+                    usage.allows(&limits, need.cpus * n, need.gpus * n)
+                })
+                .count();
+            if room == 0 || (whole && room < waiting.len()) {
+                continue;
+            }
+            let wanted = &waiting[..room];
+            let chosen = self.choose(job, wanted.len(), &slots, now, whole);
+            let missing = wanted.len() - chosen.len();
+            if !chosen.is_empty() {
+                let attempt = self.next_attempt();
+                for (index, slot) in wanted.iter().zip(&chosen) {
+                    let slot = &mut slots[*slot];
+                    slot.free = slot.free.less(&need);
+                    slot.later = slot.later.less(&need);
+                    usage.add(&limits.name, need.cpus, need.gpus);
+                    let machine = slot.id.clone();
+                    self.start(&id, *index, &machine, attempt, now);
+                }
+                starts += chosen.len();
+            }
+            if missing > 0 {
+                let stops = preempt::make_room(self, &id, missing, &mut slots, &usage, now);
+                for stop in stops {
+                    self.stop(&stop.machine, &stop.task, stop.attempt, stop.grace);
+                }
+                self.reserve(&id, missing, &mut slots);
+            }
+            if starts >= STARTS_PER_ROUND {
+                self.changed = true;
+                return;
+            }
+        }
+    }
+
+    /// Slots for up to `count` tasks of a job: all of them or none if it is to be whole.
+    fn choose(
+        &self,
+        job: &Job,
+        count: usize,
+        slots: &[Slot],
+        now: Time,
+        whole: bool,
+    ) -> Vec<usize> {
+        let zones: BTreeSet<&Zone> = slots.iter().map(|slot| &slot.zone).collect();
+        if job.spec.one_zone && count > 1 && job.placed() == 0 {
+            // The zone that takes the most of it.
+            let mut best = Vec::new();
+            for zone in zones {
+                let chosen = self.choose_in(job, count, slots, now, Some(zone));
+                if chosen.len() > best.len() {
+                    best = chosen;
+                }
+            }
+            return if whole && best.len() < count { Vec::new() } else { best };
+        }
+        let chosen = self.choose_in(job, count, slots, now, None);
+        if whole && chosen.len() < count { Vec::new() } else { chosen }
+    }
+
+    fn choose_in(
+        &self,
+        job: &Job,
+        count: usize,
+        slots: &[Slot],
+        now: Time,
+        zone: Option<&Zone>,
+    ) -> Vec<usize> {
+        let need = job.need();
+        let spec = &job.spec;
+        let slack = if job.began { 0.0 } else { due(&self.config, job) - now };
+        let mut taken: BTreeMap<usize, Room> = BTreeMap::new();
+        let mut in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
+        let mut chosen = Vec::new();
+        let eligible: Vec<usize> = slots
+            .iter()
+            .enumerate()
+            .filter(|(_, slot)| {
+                !slot.reserved
+                    && zone.is_none_or(|zone| slot.zone == *zone)
+                    && allowed(spec, &slot.type_name, &slot.zone, slot.spot)
+                    && !(job.failed_on.len() < 3 && job.failed_on.contains(&slot.id))
+            })
+            .map(|(index, _)| index)
+            .collect();
+        let ready: BTreeMap<usize, Time> = eligible
+            .iter()
+            .map(|index| {
+                (*index, self.ready_in(&slots[*index].id, &spec.image, spec.image_gb, now))
+            })
+            .collect();
+        for _ in 0..count {
+            let open: Vec<usize> = eligible
+                .iter()
+                .copied()
+                .filter(|index| job.zone_allows(&slots[*index].zone, &in_zone))
+                .collect();
+            let candidates: Vec<Candidate> = open
+                .iter()
+                .map(|index| {
+                    let slot = &slots[*index];
+                    let free = taken.get(index).copied().unwrap_or(slot.free);
+                    Candidate { free, total: slot.total, ready_in: ready[index] }
+                })
+                .collect();
+            let Some(pick) = best_fit(&need, &candidates, slack, self.weights) else { break };
+            let index = open[pick];
+            taken.insert(index, candidates[pick].free.less(&need));
+            *in_zone.entry(slots[index].zone.clone()).or_default() += 1;
+            chosen.push(index);
+        }
+        chosen
+    }
+
+    pub(super) fn ready_in(&self, id: &MachineId, image: &Image, gb: f64, now: Time) -> Time {
+        self.machines.get(id).map_or(Time::INFINITY, |m| m.ready_in(image, gb, now))
+    }
+
+    /// Keeps the machines that will soonest hold what a gang still lacks from work that comes
+    /// after it, so that small tasks do not starve large ones.
+    fn reserve(&self, id: &JobId, count: usize, slots: &mut [Slot]) {
+        let Some(job) = self.jobs.get(id).filter(|job| job.is_gang()) else { return };
+        let need = job.need();
+        for _ in 0..count {
+            let best = slots
+                .iter_mut()
+                .filter(|s| !s.reserved && s.total.holds(&need))
+                .filter(|s| allowed(&job.spec, &s.type_name, &s.zone, s.spot))
+                .max_by(|a, b| a.later.gpus.total_cmp(&b.later.gpus));
+            let Some(slot) = best else { return };
+            slot.reserved = true;
+        }
+    }
+
+    /// Machines that the cloud takes away: tasks work on as long as they can still save, and end
+    /// before the machine does, so that nobody has to wait for its lease.
+    pub(super) fn drain(&mut self, now: Time) {
+        let margin = self.config.deployment.workers.report_s * 0.5 + 1.0;
+        let mut stops = Vec::new();
+        for machine in self.machines.values() {
+            let Some(leaves) = machine.leaves else { continue };
+            for ((task, attempt), held) in &machine.on {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let save = if job.spec.checkpoint_s > 0.0 { job.spec.save_s } else { 0.0 };
+                if held.stop.is_none() && !held.exited() && leaves - now <= save * 1.1 + margin {
+                    let grace = if leaves - now > save { save } else { 0.0 };
+                    stops.push((machine.id.clone(), task.clone(), *attempt, grace));
+                }
+            }
+        }
+        for (machine, task, attempt, grace) in stops {
+            self.stop(&machine, &task, attempt, grace);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/view.rs
@@ -0,0 +1,344 @@
+//! What this controller knows of the state service: a copy of every key of the service, kept up to
+//! date by asking for the changes since the last revision. Asking is also how reads are made
+//! linearizable: an answer given after a sync that was sent after the question is up to date,
+//! and one sync serves every question that waits.
+
+use super::io::Pending;
+use super::part_map::MapChunk;
+use super::ranges::Ranges;
+use super::{Core, StateCall, StateReply, Time};
+use crate::config::Config;
+use crate::ids::{JobId, Node, Term, Version};
+use crate::wire::{Change, Guard, JobSpec, Stance, Write};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// All keys of the service start with this.
+pub const ROOT: &str = "ochredrum/";
+pub const LEADER_KEY: &str = "ochredrum/leader";
+/// Who acted as leader last; unlike the leader's key it outlives the leader's lease.
+pub const ACTING_KEY: &str = "ochredrum/acting";
+/// Written to obtain a fresh term.
+pub const TERM_KEY: &str = "ochredrum/term";
+pub const MAP_PREFIX: &str = "ochredrum/map/";
+const JOB_PREFIX: &str = "ochredrum/job/";
+
+pub fn job_key(job: &JobId) -> String {
+    format!("{JOB_PREFIX}{job}")
+}
+
+/// A job as stored.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    #[serde(rename = "s")]
+    pub stance: Stance,
+    /// When it was accepted, by the accepting controller's time of day.
+    #[serde(rename = "at")]
+    pub accepted_ms: u64,
+    #[serde(rename = "n")]
+    pub tasks: u32,
+    #[serde(rename = "d", default, skip_serializing_if = "Ranges::is_empty")]
+    pub done: Ranges,
+    /// Final states do without, so that keeping them for ever costs little.
+    #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<Rc<JobSpec>>,
+}
+
+impl JobRecord {
+    pub fn is_final(&self) -> bool {
+        matches!(self.stance, Stance::Done | Stance::Cancelled)
+    }
+
+    pub fn ended(&self, stance: Stance) -> Self {
+        let done = Ranges::default();
+        Self { stance, done, spec: None, ..self.clone() }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub node: Node,
+    pub incarnation: u64,
+    #[serde(default)]
+    pub lease: u64,
+    /// In the acting key: the term it acted under.
+    #[serde(default)]
+    pub term: Term,
+}
+
+#[derive(Clone, Debug)]
+pub struct Versioned<T> {
+    pub version: Version,
+    pub record: T,
+}
+
+pub struct View {
+    jobs: BTreeMap<JobId, Versioned<Rc<JobRecord>>>,
+    leader: Option<Versioned<LeaderRecord>>,
+    acting: Option<Versioned<LeaderRecord>>,
+    map: BTreeMap<String, Versioned<MapChunk>>,
+    /// Jobs whose records changed since the leader last looked.
+    changed: BTreeSet<JobId>,
+    revision: Version,
+    /// Newest removal of a leader or map key, so that an older put cannot bring it back.
+    removed: BTreeMap<String, Version>,
+    listing: Option<Relisting>,
+    complete: bool,
+    in_flight: bool,
+    next_sync: Time,
+    failures: u32,
+    /// When the last successful sync was sent: everything before then is known.
+    pub current_as_of: Time,
+    state_ok: Time,
+    interval: Time,
+    spacing: Time,
+    wanted: bool,
+}
+
+/// A full read in progress.
+struct Relisting {
+    after: Option<String>,
+    revision: Version,
+    sent: Time,
+    keys: BTreeSet<String>,
+}
+
+impl View {
+    pub fn new(config: &Config) -> Self {
+        // Of the state service's requests, each controller's syncs take at most 1/8 when users
+        // wait and 1/30 when nobody does.
+        let rps = config.deployment.state.rps;
+        Self {
+            jobs: BTreeMap::new(),
+            leader: None,
+            acting: None,
+            map: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            revision: 0,
+            removed: BTreeMap::new(),
+            listing: None,
+            complete: false,
+            in_flight: false,
+            next_sync: 0.0,
+            failures: 0,
+            current_as_of: Time::NEG_INFINITY,
+            state_ok: Time::NEG_INFINITY,
+            interval: 30.0 / rps,
+            spacing: 8.0 / rps,
+            wanted: false,
+        }
+    }
+
+    pub fn complete(&self) -> bool {
+        self.complete
+    }
+
+    pub fn revision(&self) -> Version {
+        self.revision
+    }
+
+    pub fn jobs(&self) -> &BTreeMap<JobId, Versioned<Rc<JobRecord>>> {
+        &self.jobs
+    }
+
+    pub fn job(&self, id: &JobId) -> Option<&Versioned<Rc<JobRecord>>> {
+        self.jobs.get(id)
+    }
+
+    pub fn leader(&self) -> Option<&Versioned<LeaderRecord>> {
+        self.leader.as_ref()
+    }
+
+    pub fn acting(&self) -> Option<&Versioned<LeaderRecord>> {
+        self.acting.as_ref()
+    }
+
+    pub fn map(&self) -> &BTreeMap<String, Versioned<MapChunk>> {
+        &self.map
+    }
+
+    pub fn take_changed(&mut self) -> BTreeSet<JobId> {
+        std::mem::take(&mut self.changed)
+    }
+
+    pub fn state_answered(&mut self, now: Time) {
+        self.state_ok = now;
+    }
+
+    /// How long the state service has not answered this controller.
+    pub fn state_silence(&self, now: Time) -> Time {
+        now - self.state_ok
+    }
+
+    /// Asks for a sync soon, because somebody waits for one.
+    pub fn want_sync(&mut self) {
+        self.wanted = true;
+    }
+
+    /// Takes up one committed write of our own without waiting for a sync.
+    pub fn apply_write(&mut self, write: &Write, version: Version) {
+        match write {
+            Write::Put { key, value, .. } => self.put(key, value, version),
+            Write::Delete { key } => self.remove(key, version),
+        }
+    }
+
+    fn apply(&mut self, change: &Change) {
+        if let Some(key) = &change.put {
+            self.put(key, &change.value, change.version);
+        } else if let Some(key) = &change.deleted {
+            self.remove(key, change.version);
+        }
+    }
+
+    fn put(&mut self, key: &str, value: &Value, version: Version) {
+        if let Some(id) = key.strip_prefix(JOB_PREFIX) {
+            let id = JobId::from(id);
+            if self.jobs.get(&id).is_some_and(|known| known.version >= version) {
+                return;
+            }
+            let Ok(record) = JobRecord::deserialize(value) else {
+                tracing::error!("unreadable record {key}");
+                return;
+            };
+            self.changed.insert(id.clone());
+            self.jobs.insert(id, Versioned { version, record: Rc::new(record) });
+            return;
+        }
+        if self.removed.get(key).is_some_and(|removed| *removed >= version) {
+            return;
+        }
+        if key == LEADER_KEY {
+            put_newer(&mut self.leader, value, version);
+        } else if key == ACTING_KEY {
+            put_newer(&mut self.acting, value, version);
+        } else if key.starts_with(MAP_PREFIX) {
+            let mut slot = self.map.remove(key);
+            put_newer(&mut slot, value, version);
+            if let Some(chunk) = slot {
+                self.map.insert(key.to_owned(), chunk);
+            }
+        }
+    }
+
+    fn remove(&mut self, key: &str, version: Version) {
+        if key == LEADER_KEY {
+            self.leader.take_if(|known| known.version <= version);
+        } else if key.starts_with(MAP_PREFIX) {
+            if self.map.get(key).is_some_and(|known| known.version <= version) {
+                self.map.remove(key);
+            }
+        } else {
+            return;
+        }
+        self.removed.insert(key.to_owned(), version);
+    }
+
+    /// After a full read: what was not in it is gone, unless it was written since.
+    fn remove_unlisted(&mut self, listed: &BTreeSet<String>, revision: Version) {
+        let mut gone: Vec<String> =
+            self.map.keys().filter(|key| !listed.contains(*key)).cloned().collect();
+        if !listed.contains(LEADER_KEY) {
+            gone.push(LEADER_KEY.to_owned());
+        }
+        for key in gone {
+            self.remove(&key, revision);
+        }
+    }
+}
+
+fn put_newer<T: for<'de> Deserialize<'de>>(
+    slot: &mut Option<Versioned<T>>,
+    value: &Value,
+    version: Version,
+) {
+    if slot.as_ref().is_none_or(|known| known.version < version)
+        && let Ok(record) = T::deserialize(value)
+    {
+        *slot = Some(Versioned { version, record });
+    }
+}
+
+pub fn guard(key: &str, version: Version) -> Guard {
+    Guard { key: key.to_owned(), version }
+}
+
+pub fn put<T: Serialize>(key: &str, record: &T, lease: Option<u64>) -> Write {
+    let value = serde_json::to_value(record).unwrap_or_default();
+    Write::Put { key: key.to_owned(), value, lease }
+}
+
+impl Core {
+    pub(super) fn sync_when_due(&mut self) {
+        let view = &mut self.view;
+        let now = self.io.now;
+        if view.in_flight || now < view.next_sync {
+            return;
+        }
+        if !view.wanted && view.listing.is_none() && now < view.next_sync + view.interval {
+            return;
+        }
+        view.wanted = false;
+        view.in_flight = true;
+        let call = match &view.listing {
+            Some(listing) => StateCall::List { prefix: ROOT, from: listing.after.clone() },
+            None if !view.complete => StateCall::List { prefix: ROOT, from: None },
+            None => StateCall::Changes { prefix: ROOT, from: view.revision },
+        };
+        self.io.state(Pending::Sync { sent: now }, call);
+    }
+
+    pub(super) fn synced(&mut self, sent: Time, reply: StateReply) {
+        let now = self.io.now;
+        let view = &mut self.view;
+        view.in_flight = false;
+        view.next_sync = now + view.spacing;
+        match reply {
+            StateReply::Changes(changes) if view.complete => {
+                for change in &changes.events {
+                    view.apply(change);
+                }
+                view.revision = view.revision.max(changes.revision);
+                view.current_as_of = sent;
+                view.failures = 0;
+            }
+            StateReply::Listing(page) => {
+                let listing = view.listing.get_or_insert_with(|| Relisting {
+                    after: None,
+                    revision: page.revision,
+                    sent,
+                    keys: BTreeSet::new(),
+                });
+                listing.after = page.entries.last().map(|entry| entry.key.clone());
+                listing.keys.extend(page.entries.iter().map(|entry| entry.key.clone()));
+                for entry in &page.entries {
+                    view.put(&entry.key, &entry.value, entry.version);
+                }
+                if !page.more
+                    && let Some(listing) = view.listing.take()
+                {
+                    // Later pages are newer than the first; changes since it are read next.
+                    view.remove_unlisted(&listing.keys, listing.revision);
+                    view.revision = listing.revision;
+                    view.current_as_of = listing.sent;
+                    view.complete = true;
+                }
+                view.failures = 0;
+                view.wanted = true;
+            }
+            StateReply::TooOld => {
+                view.complete = false;
+                view.listing = None;
+            }
+            _ => {
+                view.failures = (view.failures + 1).min(5);
+                let pause = view.spacing * f64::from(1 << view.failures);
+                view.next_sync = now + self.io.jitter(pause);
+                view.wanted = true;
+            }
+        }
+        self.desk_synced();
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! ochredrum: a scheduler for fleets of machines that serve language models.
+//!
+//! The library is split in two. [`core`] decides everything and does no I/O; the other modules
+//! turn messages into its commands and its effects into requests. See `docs/design.md`.
+
+pub mod cli;
+pub mod cloud_client;
+pub mod config;
+pub mod core;
+pub mod front;
+pub mod http;
+pub mod ids;
+pub mod mesh;
+pub mod service;
+pub mod state_client;
+pub mod wire;
+pub mod worker_client;
--- /dev/null
+++ b/src/mesh.rs
@@ -0,0 +1,50 @@
+//! Messages between controllers: CBOR over HTTP on the mesh listener.
+
+use crate::core::peers::{MeshMessage, MeshReply};
+use crate::http::{self, Client, Reply};
+use crate::service::Inbox;
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use std::rc::Rc;
+use std::time::Duration;
+
+const CBOR: &str = "application/cbor";
+const PATH: &str = "/mesh/v1";
+/// The leader's hello carries counts of every running job.
+const MESSAGE_LIMIT: usize = 1024 * 1024;
+
+pub fn client(address: std::net::SocketAddr) -> Client {
+    Client::new(address, CBOR, 4)
+}
+
+pub async fn send(client: &Client, message: &MeshMessage, deadline: Duration) -> Option<MeshReply> {
+    let mut body = Vec::new();
+    ciborium::into_writer(message, &mut body).ok()?;
+    let (status, body) = client.send(Method::POST, PATH, body, deadline).await.ok()?;
+    (status == 200).then(|| ciborium::from_reader(body.as_ref()).ok())?
+}
+
+pub async fn handle(inbox: Rc<Inbox>, request: Request<Incoming>, read: Duration) -> Reply {
+    if request.uri().path() != PATH {
+        return http::reply(404, Vec::new(), CBOR);
+    }
+    if request.method() != Method::POST {
+        return http::reply(405, Vec::new(), CBOR);
+    }
+    let Ok(body) = http::read_body(request.into_body(), MESSAGE_LIMIT, read).await else {
+        return http::reply(400, Vec::new(), CBOR);
+    };
+    let Ok(message) = ciborium::from_reader::<MeshMessage, _>(body.as_ref()) else {
+        return http::reply(400, Vec::new(), CBOR);
+    };
+    match inbox.ask_mesh(message).await {
+        Some(reply) => {
+            let mut body = Vec::new();
+            match ciborium::into_writer(&reply, &mut body) {
+                Ok(()) => http::reply(200, body, CBOR),
+                Err(_) => http::reply(500, Vec::new(), CBOR),
+            }
+        }
+        None => http::reply(503, Vec::new(), CBOR),
+    }
+}
--- /dev/null
+++ b/src/service.rs
@@ -0,0 +1,267 @@
+//! The running process: listeners feed the queue of the one owner of all state, which works through
+//! it in batches and hands effects to the clients.
+
+use crate::cloud_client::CloudClient;
+use crate::config::Config;
+use crate::core::peers::{MeshMessage, MeshReply};
+use crate::core::{Answer, CallId, Core, Effect, Input, RequestId, UserRequest};
+use crate::front::MESSAGE_PACK;
+use crate::http::{Bounds, Client};
+use crate::ids::Node;
+use crate::state_client::StateClient;
+use crate::wire::Report;
+use crate::{front, http, mesh, worker_client};
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, timeout};
+
+#[derive(Debug, thiserror::Error)]
+pub enum ServiceError {
+    #[error("cannot start the runtime: {0}")]
+    Runtime(std::io::Error),
+    #[error("cannot listen on {address}: {source}")]
+    Listen { address: std::net::SocketAddr, source: std::io::Error },
+    #[error("no randomness: {0}")]
+    Random(String),
+}
+
+/// Inputs worked through in one batch at most.
+const BATCH: usize = 256;
+
+/// What a listener asks the owner of the state.
+pub enum Question {
+    User(UserRequest),
+    Report(Box<Report>),
+    Health,
+}
+
+/// The way to the owner of the state, and back to those who wait.
+pub struct Inbox {
+    queue: mpsc::UnboundedSender<Input>,
+    next: Cell<u64>,
+    waiting: RefCell<HashMap<RequestId, oneshot::Sender<Answer>>>,
+    mesh_waiting: RefCell<HashMap<RequestId, oneshot::Sender<MeshReply>>>,
+    /// Users' requests that may wait at once; more are told at once to come back.
+    limit: usize,
+    users: Cell<usize>,
+    patience: Duration,
+}
+
+impl Inbox {
+    fn next(&self) -> RequestId {
+        self.next.set(self.next.get() + 1);
+        RequestId(self.next.get())
+    }
+
+    pub async fn ask(&self, question: Question) -> Answer {
+        let user = matches!(question, Question::User(_));
+        if user && self.users.get() >= self.limit {
+            return Answer::unavailable();
+        }
+        let request = self.next();
+        let input = match question {
+            Question::User(what) => Input::User(request, what),
+            Question::Report(report) => Input::Report(request, *report),
+            Question::Health => Input::Health(request),
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(request, sender);
+        let _left = Leaving { inbox: self, request, user };
+        self.users.set(self.users.get() + usize::from(user));
+        if self.queue.send(input).is_err() {
+            return Answer::unavailable();
+        }
+        match timeout(self.patience, receiver).await {
+            Ok(Ok(answer)) => answer,
+            _ => Answer::unavailable(),
+        }
+    }
+
+    pub async fn ask_mesh(&self, message: MeshMessage) -> Option<MeshReply> {
+        let request = self.next();
+        let (sender, receiver) = oneshot::channel();
+        self.mesh_waiting.borrow_mut().insert(request, sender);
+        let _left = Leaving { inbox: self, request, user: false };
+        self.queue.send(Input::Mesh(request, message)).ok()?;
+        timeout(self.patience, receiver).await.ok()?.ok()
+    }
+}
+
+/// Whoever stops waiting, also by going away, leaves nothing behind.
+struct Leaving<'a> {
+    inbox: &'a Inbox,
+    request: RequestId,
+    user: bool,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        self.inbox.waiting.borrow_mut().remove(&self.request);
+        self.inbox.mesh_waiting.borrow_mut().remove(&self.request);
+        self.inbox.users.set(self.inbox.users.get() - usize::from(self.user));
+    }
+}
+
+pub fn run(config: Config) -> Result<(), ServiceError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(ServiceError::Runtime)?;
+    LocalSet::new().block_on(&runtime, serve(config))
+}
+
+async fn serve(config: Config) -> Result<(), ServiceError> {
+    let front = listen(config.front).await?;
+    let mesh_listener = listen(config.mesh).await?;
+    let (queue, inputs) = mpsc::unbounded_channel();
+    let limits = &config.deployment.limits;
+    let lease = Duration::from_secs_f64(config.deployment.workers.lease_s);
+    let inbox = Rc::new(Inbox {
+        queue: queue.clone(),
+        next: Cell::new(0),
+        waiting: RefCell::default(),
+        mesh_waiting: RefCell::default(),
+        limit: (limits.fd_limit / 2).max(8),
+        users: Cell::new(0),
+        patience: Duration::from_secs(3),
+    });
+    // Of the sockets, most are for users and workers, some for siblings, the rest for calls.
+    let read = lease / 4;
+    let front_bounds = Bounds { connections: limits.fd_limit * 7 / 10, read };
+    let mesh_bounds = Bounds { connections: limits.fd_limit / 10, read };
+    let at_front = inbox.clone();
+    spawn_local(http::serve(front, front_bounds, move |request| {
+        front::handle(at_front.clone(), request, read)
+    }));
+    let at_mesh = inbox.clone();
+    spawn_local(http::serve(mesh_listener, mesh_bounds, move |request| {
+        mesh::handle(at_mesh.clone(), request, read)
+    }));
+    let random = OsRng.try_next_u64().map_err(|e| ServiceError::Random(e.to_string()))?;
+    // The time makes the incarnation differ from those before even where randomness repeats.
+    let seed = random ^ wall_ms();
+    tracing::info!("{} serves on {}", config.node, config.front);
+    let clients = Clients::new(&config, queue);
+    let core = Core::new(config, seed);
+    own(core, inputs, clients, inbox).await;
+    Ok(())
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, ServiceError> {
+    TcpListener::bind(address).await.map_err(|source| ServiceError::Listen { address, source })
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The owner's loop.
+async fn own(
+    mut core: Core,
+    mut inputs: mpsc::UnboundedReceiver<Input>,
+    clients: Rc<Clients>,
+    inbox: Rc<Inbox>,
+) {
+    let start = Instant::now();
+    let mut batch = Vec::new();
+    loop {
+        // Whatever is there is one batch; without any, time itself may call for something.
+        if timeout(clients.tick, inputs.recv_many(&mut batch, BATCH)).await == Ok(0) {
+            return;
+        }
+        let now = start.elapsed().as_secs_f64();
+        for effect in core.step(now, wall_ms(), std::mem::take(&mut batch)) {
+            match effect {
+                Effect::Answer(request, answer) => {
+                    if let Some(waiting) = inbox.waiting.borrow_mut().remove(&request) {
+                        // Whoever asked may have gone away.
+                        waiting.send(answer).ok();
+                    }
+                }
+                Effect::MeshAnswer(request, reply) => {
+                    if let Some(waiting) = inbox.mesh_waiting.borrow_mut().remove(&request) {
+                        waiting.send(reply).ok();
+                    }
+                }
+                effect => clients.call(effect),
+            }
+        }
+    }
+}
+
+struct Clients {
+    queue: mpsc::UnboundedSender<Input>,
+    state: Rc<StateClient>,
+    cloud: Rc<CloudClient>,
+    siblings: HashMap<Node, Rc<Client>>,
+    tick: Duration,
+    worker_deadline: Duration,
+    mesh_deadline: Duration,
+}
+
+impl Clients {
+    fn new(config: &Config, queue: mpsc::UnboundedSender<Input>) -> Rc<Self> {
+        let services = &config.services;
+        let lease = Duration::from_secs_f64(config.deployment.workers.lease_s);
+        let state = Client::new(services.state, MESSAGE_PACK, 8);
+        let cloud = Client::new(services.cloud, MESSAGE_PACK, 2);
+        let siblings = config.siblings.iter();
+        Rc::new(Self {
+            queue,
+            state: Rc::new(StateClient::new(state, lease / 12)),
+            cloud: Rc::new(CloudClient::new(cloud, lease / 3)),
+            siblings: siblings.map(|s| (s.node.clone(), Rc::new(mesh::client(s.addr)))).collect(),
+            tick: lease / 200,
+            worker_deadline: lease / 10,
+            mesh_deadline: lease / 12,
+        })
+    }
+
+    /// Starts a call; its reply comes back through the queue.
+    fn call(&self, effect: Effect) {
+        match effect {
+            Effect::State(call, what) => {
+                let client = self.state.clone();
+                self.spawn(call, async move { client.call(what).await }, Input::State);
+            }
+            Effect::Cloud(call, what) => {
+                let client = self.cloud.clone();
+                self.spawn(call, async move { client.call(what).await }, Input::Cloud);
+            }
+            Effect::Worker(call, address, orders) => {
+                let deadline = self.worker_deadline;
+                let send = async move { worker_client::send(&address, &orders, deadline).await };
+                self.spawn(call, send, Input::Worker);
+            }
+            Effect::Mesh(call, node, message) => {
+                let Some(client) = self.siblings.get(&node).cloned() else { return };
+                let deadline = self.mesh_deadline;
+                let send = async move { mesh::send(&client, &message, deadline).await };
+                self.spawn(call, send, Input::MeshReply);
+            }
+            Effect::Answer(..) | Effect::MeshAnswer(..) => {}
+        }
+    }
+
+    fn spawn<R: 'static>(
+        &self,
+        call: CallId,
+        work: impl Future<Output = R> + 'static,
+        input: impl FnOnce(CallId, R) -> Input + 'static,
+    ) {
+        let queue = self.queue.clone();
+        spawn_local(async move {
+            // The owner is gone only when the process ends.
+            queue.send(input(call, work.await)).ok();
+        });
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,575 @@
+//! The published protocol's messages, renamed to ordinary terms. MessagePack is spoken only here.
+
+use crate::ids::{Attempt, Image, JobId, MachineId, Node, Team, Term, TypeName, Version, Zone};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value, json};
+
+/// The published limit on request bodies.
+pub const BODY_LIMIT: usize = 64 * 1024;
+/// The published limit on a job's tasks.
+const MAX_TASKS: u64 = 100_000;
+
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum WireError {
+    #[error("not MessagePack")]
+    NotMessagePack,
+    #[error("not a map")]
+    NotMap,
+    #[error("{0}: missing or invalid")]
+    Field(&'static str),
+}
+
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    // Our own types hold nothing that MessagePack cannot carry; an empty body is refused by peers.
+    rmp_serde::to_vec_named(message).unwrap_or_default()
+}
+
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    rmp_serde::from_slice(body).ok()
+}
+
+// ---- users ----
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Kind {
+    #[serde(rename = "sweep")]
+    Array,
+    #[serde(rename = "ensemble")]
+    Gang,
+    #[serde(rename = "standing")]
+    Service,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+pub enum Priority {
+    #[serde(rename = "best_effort")]
+    Low,
+    #[serde(rename = "standard")]
+    Normal,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "critical")]
+    Production,
+}
+
+/// What a user asked for. Stored as it is, so the short names keep records small.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct JobSpec {
+    #[serde(rename = "c")]
+    pub class: String,
+    #[serde(rename = "t")]
+    pub team: Team,
+    #[serde(rename = "k")]
+    pub kind: Kind,
+    #[serde(rename = "p")]
+    pub priority: Priority,
+    #[serde(rename = "n")]
+    pub tasks: u32,
+    #[serde(rename = "cpu")]
+    pub cpus: f64,
+    #[serde(rename = "gpu")]
+    pub gpus: f64,
+    #[serde(rename = "mem")]
+    pub memory_gb: f64,
+    #[serde(rename = "img")]
+    pub image: Image,
+    #[serde(rename = "igb")]
+    pub image_gb: f64,
+    #[serde(rename = "ty", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<TypeName>>,
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<Zone>,
+    #[serde(rename = "oz", default, skip_serializing_if = "is_false")]
+    pub one_zone: bool,
+    #[serde(rename = "sp", default, skip_serializing_if = "is_false")]
+    pub spread: bool,
+    #[serde(rename = "spot", default, skip_serializing_if = "is_false")]
+    pub spot: bool,
+    #[serde(rename = "est")]
+    pub estimate_s: f64,
+    #[serde(rename = "ck")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "sv")]
+    pub save_s: f64,
+    #[serde(rename = "dl", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// The form of a job id: `req-` and at least six digits.
+pub fn valid_job_id(text: &str) -> bool {
+    text.strip_prefix("req-").is_some_and(|digits| {
+        (6..=20).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit())
+    })
+}
+
+/// Reads a submission, checking every field as published.
+pub fn parse_submission(body: &[u8]) -> Result<(JobId, JobSpec), WireError> {
+    let mut reader = rmp_serde::Deserializer::new(body);
+    let value = Value::deserialize(&mut reader).map_err(|_| WireError::NotMessagePack)?;
+    if !reader.get_ref().is_empty() {
+        return Err(WireError::NotMessagePack);
+    }
+    let Value::Object(map) = value else { return Err(WireError::NotMap) };
+    let fields = Fields(&map);
+    let id = fields.text("nameId")?;
+    if !valid_job_id(id) {
+        return Err(WireError::Field("nameId"));
+    }
+    let tasks = fields.present("beats")?.as_u64().filter(|n| (1..=MAX_TASKS).contains(n));
+    let types = match fields.optional("breeds") {
+        None => None,
+        Some(Value::Array(list)) => Some(
+            list.iter()
+                .map(|t| t.as_str().map(TypeName::from).ok_or(WireError::Field("breeds")))
+                .collect::<Result<Vec<_>, _>>()?,
+        ),
+        Some(_) => return Err(WireError::Field("breeds")),
+    };
+    let zone = match fields.optional("yard") {
+        None => None,
+        Some(Value::String(zone)) => Some(Zone::from(zone.as_str())),
+        Some(_) => return Err(WireError::Field("yard")),
+    };
+    let deadline_s = match fields.optional("dueS") {
+        None => None,
+        Some(_) => Some(fields.amount("dueS")?),
+    };
+    let spec = JobSpec {
+        class: fields.text("herd")?.to_owned(),
+        team: fields.text("crew")?.into(),
+        kind: fields.word("shape")?,
+        priority: fields.word("urgency")?,
+        tasks: tasks.ok_or(WireError::Field("beats"))? as u32,
+        cpus: fields.amount("cores")?,
+        gpus: fields.amount("cards")?,
+        memory_gb: fields.amount("memGb")?,
+        image: fields.text("pressing")?.into(),
+        image_gb: fields.amount("sizeGb")?,
+        types,
+        zone,
+        one_zone: fields.flag("samePlace")?,
+        spread: fields.flag("apart")?,
+        spot: fields.flag("loaners")?,
+        estimate_s: fields.amount("expectS")?,
+        checkpoint_s: fields.amount("markEveryS")?,
+        save_s: fields.amount("markS")?,
+        deadline_s,
+    };
+    Ok((id.into(), spec))
+}
+
+struct Fields<'a>(&'a Map<String, Value>);
+
+impl<'a> Fields<'a> {
+    fn optional(&self, name: &'static str) -> Option<&'a Value> {
+        self.0.get(name).filter(|v| !v.is_null())
+    }
+    fn present(&self, name: &'static str) -> Result<&'a Value, WireError> {
+        self.optional(name).ok_or(WireError::Field(name))
+    }
+    fn text(&self, name: &'static str) -> Result<&'a str, WireError> {
+        self.present(name)?.as_str().ok_or(WireError::Field(name))
+    }
+    fn flag(&self, name: &'static str) -> Result<bool, WireError> {
+        self.present(name)?.as_bool().ok_or(WireError::Field(name))
+    }
+    /// A decimal number that is neither negative nor endless (those arrive as null).
+    fn amount(&self, name: &'static str) -> Result<f64, WireError> {
+        let number = self.present(name)?.as_f64().filter(|n| n.is_finite() && *n >= 0.0);
+        number.ok_or(WireError::Field(name))
+    }
+    fn word<T: DeserializeOwned>(&self, name: &'static str) -> Result<T, WireError> {
+        serde_json::from_value(self.present(name)?.clone()).map_err(|_| WireError::Field(name))
+    }
+}
+
+/// What a user is told of a job's state.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Stance {
+    #[serde(rename = "pending")]
+    Pending,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "withdrawn")]
+    Cancelled,
+}
+
+pub fn stance_answer(id: &JobId, stance: Stance) -> Value {
+    json!({"nameId": id, "stance": stance})
+}
+
+pub fn state_answer(id: &JobId, stance: Stance, done: u32, running: u32) -> Value {
+    json!({"nameId": id, "stance": stance, "done": done, "running": running})
+}
+
+// ---- workers ----
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    #[serde(rename = "drumhead")]
+    pub machine: MachineId,
+    pub address: String,
+    #[serde(rename = "breed")]
+    pub type_name: TypeName,
+    #[serde(rename = "yard")]
+    pub zone: Zone,
+    #[serde(rename = "loaners", default)]
+    pub spot: bool,
+    #[serde(rename = "stint")]
+    pub session: u64,
+    #[serde(rename = "tally")]
+    pub seq: u64,
+    #[serde(rename = "baton")]
+    pub token: Term,
+    #[serde(rename = "recallS", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "beats", default)]
+    pub tasks: Vec<ReportedTask>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReportedTask {
+    #[serde(rename = "beat")]
+    pub task: String,
+    #[serde(rename = "take")]
+    pub attempt: Attempt,
+    #[serde(rename = "stance")]
+    pub state: TaskState,
+    #[serde(rename = "cause", default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<Exit>,
+    #[serde(rename = "kept", default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum TaskState {
+    #[serde(rename = "pulling")]
+    Fetching,
+    #[serde(rename = "waiting")]
+    Waiting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "flushing")]
+    Saving,
+    #[serde(rename = "ended")]
+    Exited,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Exit {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "halted")]
+    Stopped,
+    #[serde(rename = "mates_gone")]
+    PeersGone,
+    #[serde(rename = "incomplete")]
+    Alone,
+    #[serde(rename = "error")]
+    Error,
+    #[serde(rename = "no_room")]
+    NoRoom,
+    #[serde(rename = "busy")]
+    Busy,
+    #[serde(rename = "no_such")]
+    UnknownJob,
+    /// A word that this version does not know: treated as a failure.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "call")]
+pub enum Order {
+    #[serde(rename = "start")]
+    Start {
+        #[serde(rename = "beat")]
+        task: String,
+        #[serde(rename = "take")]
+        attempt: Attempt,
+    },
+    #[serde(rename = "stop")]
+    Stop {
+        #[serde(rename = "beat")]
+        task: String,
+        #[serde(rename = "take")]
+        attempt: Attempt,
+        #[serde(rename = "leewayS")]
+        grace_s: f64,
+    },
+    #[serde(rename = "forget")]
+    Forget {
+        #[serde(rename = "beat")]
+        task: String,
+        #[serde(rename = "take")]
+        attempt: Attempt,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    #[serde(rename = "baton")]
+    pub token: Term,
+    #[serde(rename = "calls")]
+    pub orders: Vec<Order>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DirectOrders {
+    #[serde(rename = "baton")]
+    pub token: Term,
+    #[serde(rename = "stint")]
+    pub session: u64,
+    #[serde(rename = "calls")]
+    pub orders: Vec<Order>,
+}
+
+/// Tells a worker which controller to report to.
+pub fn report_to(node: Option<&Node>) -> Value {
+    match node {
+        Some(node) => json!({"conductor": node}),
+        None => json!({}),
+    }
+}
+
+// ---- cloud ----
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineTypes {
+    #[serde(rename = "breeds")]
+    pub types: Vec<MachineType>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    #[serde(rename = "label")]
+    pub name: TypeName,
+    #[serde(rename = "cores")]
+    pub cpus: f64,
+    #[serde(rename = "cards")]
+    pub gpus: f64,
+    #[serde(rename = "memGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "cacheGb", default)]
+    pub cache_gb: f64,
+    #[serde(rename = "pullGbPerS", default)]
+    pub fetch_gb_per_s: f64,
+    #[serde(rename = "rate")]
+    pub price: f64,
+    #[serde(rename = "marketPrice", default)]
+    pub spot_price: f64,
+    #[serde(rename = "bootS", default)]
+    pub boot_s: f64,
+    #[serde(rename = "yards", default)]
+    pub zones: Vec<Zone>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rental {
+    #[serde(rename = "hire")]
+    pub request: String,
+    #[serde(rename = "breed")]
+    pub type_name: TypeName,
+    #[serde(rename = "yard")]
+    pub zone: Zone,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    #[serde(rename = "howMany")]
+    pub count: u32,
+}
+
+/// Names of machines: rented, or to be deleted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineNames {
+    #[serde(rename = "drumheads")]
+    pub machines: Vec<MachineId>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineList {
+    #[serde(rename = "drumheads")]
+    pub machines: Vec<ListedMachine>,
+    #[serde(default)]
+    pub more: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListedMachine {
+    #[serde(rename = "nameId")]
+    pub machine: MachineId,
+    #[serde(default)]
+    pub address: Option<String>,
+    #[serde(rename = "breed")]
+    pub type_name: TypeName,
+    #[serde(rename = "yard")]
+    pub zone: Zone,
+    #[serde(rename = "loaners", default)]
+    pub spot: bool,
+    #[serde(rename = "stance")]
+    pub state: MachineState,
+    #[serde(rename = "heldS", default)]
+    pub age_s: f64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum MachineState {
+    #[serde(rename = "starting")]
+    Booting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "failed")]
+    Failed,
+}
+
+// ---- state service ----
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Guard {
+    pub key: String,
+    #[serde(rename = "stamp")]
+    pub version: Version,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Write {
+    Put {
+        #[serde(rename = "write")]
+        key: String,
+        #[serde(rename = "data")]
+        value: Value,
+        #[serde(rename = "tenure", default, skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    Delete {
+        #[serde(rename = "drop")]
+        key: String,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Transaction {
+    pub guards: Vec<Guard>,
+    pub writes: Vec<Write>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Revision {
+    #[serde(rename = "ledger")]
+    pub revision: Version,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub key: String,
+    #[serde(rename = "data")]
+    pub value: Value,
+    #[serde(rename = "stamp")]
+    pub version: Version,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    pub entries: Vec<Entry>,
+    #[serde(default)]
+    pub more: bool,
+    #[serde(rename = "ledger")]
+    pub revision: Version,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Changes {
+    #[serde(rename = "ledger")]
+    pub revision: Version,
+    #[serde(rename = "log", default)]
+    pub events: Vec<Change>,
+}
+
+/// A change of a key: a put has data, a removal does not.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    #[serde(rename = "write", default, skip_serializing_if = "Option::is_none")]
+    pub put: Option<String>,
+    #[serde(rename = "drop", default, skip_serializing_if = "Option::is_none")]
+    pub deleted: Option<String>,
+    #[serde(rename = "data", default)]
+    pub value: Value,
+    #[serde(rename = "stamp")]
+    pub version: Version,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaseLife {
+    #[serde(rename = "lifeMs")]
+    pub ttl_ms: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaseId {
+    #[serde(rename = "tenure")]
+    pub lease: u64,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn example() -> Value {
+        json!({"nameId":"req-000412","herd":"train","crew":"vision","shape":"ensemble",
+            "urgency":"high","beats":16,"cores":8.0,"cards":1.0,"memGb":64.0,"pressing":"img-07",
+            "sizeGb":6.2,"breeds":["g8"],"yard":null,"samePlace":true,"apart":false,
+            "loaners":true,"expectS":240,"markEveryS":30.0,"markS":4.0,"dueS":900.0})
+    }
+
+    #[test]
+    fn the_published_example_is_read() {
+        let (id, spec) = parse_submission(&encode(&example())).unwrap();
+        assert_eq!(id.as_str(), "req-000412");
+        assert_eq!((spec.kind, spec.priority, spec.tasks), (Kind::Gang, Priority::High, 16));
+        assert_eq!(spec.zone, None);
+        let stored = serde_json::to_value(&spec).unwrap();
+        assert_eq!(serde_json::from_value::<JobSpec>(stored).unwrap(), spec);
+    }
+
+    #[test]
+    fn malformed_submissions_are_refused() {
+        let with = |name: &str, value: Value| {
+            let mut job = example();
+            job[name] = value;
+            parse_submission(&encode(&job))
+        };
+        for (name, value) in [
+            ("nameId", json!("r-1")),
+            ("nameId", json!("req-12x456")),
+            ("beats", json!(0)),
+            ("beats", json!(100_001)),
+            ("beats", json!(2.5)),
+            ("cores", json!(-1.0)),
+            ("cores", json!("8")),
+            ("shape", json!("other")),
+            ("urgency", json!(3)),
+            ("samePlace", json!(1)),
+            ("breeds", json!("g8")),
+            ("herd", json!(null)),
+            ("dueS", json!(-5)),
+        ] {
+            assert!(with(name, value.clone()).is_err(), "{name}={value}");
+        }
+        assert!(with("beats", json!(100_000)).is_ok());
+        assert_eq!(parse_submission(&[0xc1]), Err(WireError::NotMessagePack));
+        assert_eq!(parse_submission(b"\x93\x01\x02\x03"), Err(WireError::NotMap));
+        // Not-a-number is a MessagePack float that no amount may be.
+        let mut nan = rmp_serde::to_vec_named(&example()).unwrap();
+        let at = nan.windows(6).position(|w| w == b"\xa5cores").unwrap() + 6;
+        assert_eq!(nan[at], 0xcb);
+        nan[at + 1..at + 9].copy_from_slice(&f64::NAN.to_be_bytes());
+        assert_eq!(parse_submission(&nan), Err(WireError::Field("cores")));
+    }
+}
