--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -204,8 +204,8 @@
         self.io.take_effects()
     }
 
-    /// Whether this controller is entitled to command machines.
-    pub fn entitled(&self, now: Time) -> bool {
+    /// Whether this controller leads and is entitled to command machines.
+    pub fn leads(&self, now: Time) -> bool {
         self.lead.is_some() && self.authority.entitled(now)
     }
 
@@ -278,7 +278,7 @@
     /// Answers a worker, or sends it where it should report.
     fn report(&mut self, request: RequestId, report: Report) {
         let now = self.io.now;
-        if self.entitled(now)
+        if self.leads(now)
             && let Some(lead) = self.lead.as_mut()
         {
             let answer = lead.checkin(&mut self.io, &self.view, &self.supply, report);
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,270 @@
+//! Runs every scenario in `tests/scenarios/`, and days of random faults with fixed seeds.
+//!
+//! A scenario is a text file of lines: `seed N`, `machines N`, `spot N`, `at T WHAT …`, `until T`.
+//! All rules are checked as things happen; in the end everything asked for must be served.
+
+mod world;
+
+use ochredrum::ids::{Image, Team};
+use ochredrum::wire::{JobSpec, Kind, Priority};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use world::{Event, Fault, Who, World};
+
+fn spec(kind: Kind, tasks: u32) -> JobSpec {
+    JobSpec {
+        class: if kind == Kind::Service { "chat".into() } else { "batch".into() },
+        team: Team::from("red"),
+        kind,
+        priority: if kind == Kind::Service { Priority::Production } else { Priority::Normal },
+        tasks,
+        cpus: 4.0,
+        gpus: 2.0,
+        memory_gb: 16.0,
+        image: Image::from("img"),
+        image_gb: 8.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 20.0,
+        checkpoint_s: if kind == Kind::Service { 0.0 } else { 5.0 },
+        save_s: if kind == Kind::Service { 0.0 } else { 2.0 },
+        deadline_s: None,
+    }
+}
+
+fn who(word: &str) -> Who {
+    match word {
+        "leader" => Who::Leader,
+        "all" => Who::AllNodes,
+        "state" => Who::State,
+        "cloud" => Who::Cloud,
+        "workers" => Who::Workers,
+        "state+siblings" => Who::StateAndSiblings,
+        "everyone" => Who::Everyone,
+        node => match node.strip_prefix('n').and_then(|n| n.parse().ok()) {
+            Some(node) => Who::Node(node),
+            None => panic!("who is {word:?}?"),
+        },
+    }
+}
+
+fn number(word: Option<&&str>) -> f64 {
+    match word.and_then(|w| w.parse().ok()) {
+        Some(number) => number,
+        None => panic!("a number is missing: {word:?}"),
+    }
+}
+
+/// `job array|gang|service TASKS [run=S] [gpus=N] [team=blue] [spot] [spread] [onezone] …`
+fn job(words: &[&str]) -> (JobSpec, f64) {
+    let kind = match words[0] {
+        "array" => Kind::Array,
+        "gang" => Kind::Gang,
+        "service" => Kind::Service,
+        other => panic!("kind {other:?}?"),
+    };
+    let mut job = spec(kind, number(words.get(1)) as u32);
+    let mut run_s = 20.0;
+    for word in &words[2..] {
+        match word.split_once('=') {
+            Some(("run", s)) => run_s = number(Some(&s)),
+            Some(("gpus", n)) => job.gpus = number(Some(&n)),
+            Some(("image", name)) => job.image = name.into(),
+            Some(("team", name)) => job.team = name.into(),
+            Some(("zone", name)) => job.zone = Some(name.into()),
+            None if *word == "spot" => job.spot = true,
+            None if *word == "spread" => job.spread = true,
+            None if *word == "onezone" => job.one_zone = true,
+            None if *word == "low" => job.priority = Priority::Low,
+            _ => panic!("job option {word:?}?"),
+        }
+    }
+    (job, run_s)
+}
+
+fn fault(words: &[&str]) -> Fault {
+    let rest = &words[1..];
+    match words[0] {
+        "crash" => {
+            let back_after = rest.get(1).map(|_| number(rest.get(1)));
+            Fault::Crash { who: who(rest[0]), back_after }
+        }
+        "roll" => Fault::Roll { every: number(rest.first()) },
+        "outage" => Fault::Outage { seconds: number(rest.first()) },
+        "cloud_outage" => Fault::CloudOutage { seconds: number(rest.first()) },
+        "refuse" => Fault::Refuse { who: who(rest[0]), seconds: number(rest.get(1)) },
+        "cut" => Fault::Cut {
+            who: who(rest[0]),
+            from: who(rest[1]),
+            seconds: number(rest.get(2)),
+            hold: rest.get(3) == Some(&"hold"),
+        },
+        "machine_dies" => Fault::MachineDies { which: number(rest.first()) as usize },
+        "machine_cut" => Fault::MachineCut {
+            which: number(rest.first()) as usize,
+            seconds: number(rest.get(1)),
+            hold: rest.get(2) == Some(&"hold"),
+        },
+        "machine_deaf" => Fault::MachineDeaf {
+            which: number(rest.first()) as usize,
+            seconds: number(rest.get(1)),
+        },
+        "notice" => Fault::MachineNotice {
+            which: number(rest.first()) as usize,
+            seconds: number(rest.get(1)),
+        },
+        "copies" => Fault::Copies { seconds: number(rest.first()) },
+        other => panic!("fault {other:?}?"),
+    }
+}
+
+fn play(text: &str) -> World {
+    let lines: Vec<Vec<&str>> = text
+        .lines()
+        .map(|line| line.split('#').next().unwrap_or("").split_whitespace().collect())
+        .filter(|words: &Vec<&str>| !words.is_empty())
+        .collect();
+    let seed = lines.iter().find(|w| w[0] == "seed").map_or(1, |w| number(w.get(1)) as u64);
+    let mut world = World::new(seed);
+    let mut jobs = Vec::new();
+    for words in lines {
+        match words[0] {
+            "seed" => {}
+            "machines" => world.add_machines(number(words.get(1)) as usize, false),
+            "spot" => world.add_machines(number(words.get(1)) as usize, true),
+            "until" => world.run(number(words.get(1))),
+            "at" => {
+                let at = number(words.get(1));
+                match words[2] {
+                    "job" => {
+                        let (spec, run_s) = job(&words[3..]);
+                        jobs.push(world.add_job(at, spec, run_s));
+                    }
+                    "cancel" => {
+                        let job = jobs[number(words.get(3)) as usize - 1];
+                        world.at(at, Event::Cancel { job });
+                    }
+                    "submit_again" => {
+                        let job = jobs[number(words.get(3)) as usize - 1];
+                        world.at(at, Event::Submit { job });
+                    }
+                    _ => world.at(at, Event::Fault(fault(&words[2..]))),
+                }
+            }
+            other => panic!("line {other:?}?"),
+        }
+    }
+    world.check_served();
+    if world.starts() == 0 {
+        world.breaks("nothing_ran", "no task was started".into());
+    }
+    world
+}
+
+fn report(name: &str, world: &World) -> Option<String> {
+    if world.broken.is_empty() {
+        return None;
+    }
+    let from = world.log.len().saturating_sub(60);
+    Some(format!("{name}:\n  {}\n{}", world.broken.join("\n  "), world.log[from..].join("\n")))
+}
+
+#[test]
+fn scenarios() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
+    let only = std::env::var("SCENARIO").ok();
+    let mut files: Vec<_> =
+        std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
+    files.sort();
+    assert!(files.len() > 10, "scenarios are there");
+    let mut failures = Vec::new();
+    for file in files {
+        let name = file.file_stem().unwrap().to_string_lossy().into_owned();
+        if only.as_ref().is_none_or(|only| *only == name) {
+            let world = play(&std::fs::read_to_string(&file).unwrap());
+            failures.extend(report(&name, &world));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n\n"));
+}
+
+/// The same inputs, times and seeds give the same day.
+#[test]
+fn a_day_repeats() {
+    let day = "seed 5\nmachines 3\nat 2 job array 6\nat 9 crash leader\nuntil 80";
+    let (a, b) = (play(day), play(day));
+    assert_eq!(a.log, b.log);
+    assert!(!a.log.is_empty());
+}
+
+/// A day of random work and overlapping faults, calm in its last part.
+fn random_day(seed: u64) -> String {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut day = format!("seed {seed}\nmachines {}\nspot 2\n", rng.random_range(4..7));
+    for _ in 0..rng.random_range(6..12) {
+        let at = rng.random_range(1..100);
+        let kind = ["array", "array", "gang", "service"][rng.random_range(0..4)];
+        let tasks = if kind == "gang" { rng.random_range(1..4) } else { rng.random_range(1..7) };
+        // Services of the limited team would keep its other work from ever running.
+        let team = if kind == "service" { "red" } else { ["red", "blue"][rng.random_range(0..2)] };
+        let mut options = Vec::new();
+        if kind == "gang" {
+            options.push("onezone");
+        } else if kind == "array" && rng.random_bool(0.5) {
+            options.push("spot");
+        } else if kind == "service" && rng.random_bool(0.5) {
+            options.push("spread");
+        }
+        let run = rng.random_range(3..40);
+        let options = options.join(" ");
+        day += &format!("at {at} job {kind} {tasks} run={run} team={team} {options}\n");
+    }
+    for job in 1..4 {
+        if rng.random_bool(0.4) {
+            day += &format!("at {} cancel {job}\n", rng.random_range(101..140));
+        }
+    }
+    for _ in 0..rng.random_range(3..8) {
+        let at = rng.random_range(5..130);
+        let s = rng.random_range(2..25);
+        let who = ["leader", "n0", "n1", "n2"][rng.random_range(0..4)];
+        let hold = ["", "hold"][rng.random_range(0..2)];
+        let which = rng.random_range(0..6);
+        let fault = match rng.random_range(0..16) {
+            0 => format!("crash {who} {:.1}", rng.random_range(0.2..8.0)),
+            1 => format!("crash all {:.1}", rng.random_range(0.2..8.0)),
+            2 => format!("roll {}", rng.random_range(3..12)),
+            3 | 4 => format!("outage {s}"),
+            5 => format!("cloud_outage {s}"),
+            6 => format!("refuse {who} {s}"),
+            7 => format!("cut {who} workers {s} {hold}"),
+            8 => format!("cut {who} state {s} {hold}"),
+            9 => format!("cut {who} everyone {s} {hold}"),
+            10 => format!("cut {who} state+siblings {s} {hold}"),
+            11 => format!("machine_dies {which}"),
+            12 => format!("machine_cut {which} {s} {hold}"),
+            13 => format!("machine_deaf {which} {s}"),
+            14 => format!("notice {which} {}", rng.random_range(2..12)),
+            _ => format!("copies {s}"),
+        };
+        day += &format!("at {at} {fault}\n");
+    }
+    day + "until 300\n"
+}
+
+#[test]
+fn random_days() {
+    // More days by hand: RANDOM_DAYS=from-to.
+    let days = std::env::var("RANDOM_DAYS").unwrap_or_else(|_| "1-40".into());
+    let (from, to) = days.split_once('-').unwrap();
+    let mut failures = Vec::new();
+    for seed in from.parse::<u64>().unwrap()..=to.parse().unwrap() {
+        let day = random_day(seed);
+        let world = play(&day);
+        failures.extend(report(&format!("random day {seed}\n{day}"), &world));
+    }
+    assert!(failures.is_empty(), "{} days:\n{}", failures.len(), failures.join("\n\n"));
+}
--- /dev/null
+++ b/tests/world/cloud.rs
@@ -0,0 +1,140 @@
+//! The cloud's stand-in.
+
+use ochredrum::core::{CloudCall, CloudReply};
+use ochredrum::ids::{MachineId, TypeName, Zone};
+use ochredrum::wire::{
+    ListedMachine, MachineList, MachineNames, MachineState, MachineType, MachineTypes,
+};
+use std::collections::BTreeMap;
+
+pub const GPUS: f64 = 8.0;
+pub const CPUS: f64 = 64.0;
+pub const MEMORY_GB: f64 = 256.0;
+pub const FETCH: f64 = 4.0;
+const LIST_LAG: f64 = 5.0;
+const CAPACITY: usize = 24;
+
+pub struct Owned {
+    pub type_name: TypeName,
+    pub zone: Zone,
+    pub spot: bool,
+    created: f64,
+    running: Option<f64>,
+    unlisted_from: Option<f64>,
+}
+
+#[derive(Default)]
+pub struct Cloud {
+    machines: BTreeMap<MachineId, Owned>,
+    hires: BTreeMap<String, MachineNames>,
+    deleted: Vec<MachineId>,
+    created: usize,
+}
+
+impl Cloud {
+    pub fn count(&self) -> usize {
+        self.created
+    }
+
+    pub fn get(&self, machine: &MachineId) -> Option<&Owned> {
+        self.machines.get(machine)
+    }
+
+    pub fn create(&mut self, type_name: &str, zone: &str, spot: bool, created: f64) -> MachineId {
+        self.created += 1;
+        let machine = MachineId::from(format!("m-{:06}", self.created));
+        let owned = Owned {
+            type_name: type_name.into(),
+            zone: zone.into(),
+            spot,
+            created,
+            running: None,
+            unlisted_from: None,
+        };
+        self.machines.insert(machine.clone(), owned);
+        machine
+    }
+
+    pub fn up(&mut self, machine: &MachineId, now: f64) {
+        if let Some(owned) = self.machines.get_mut(machine) {
+            owned.running = Some(now);
+        }
+    }
+
+    pub fn died(&mut self, machine: &MachineId, unlisted_from: f64) {
+        if let Some(owned) = self.machines.get_mut(machine) {
+            owned.unlisted_from = Some(unlisted_from);
+        }
+    }
+
+    pub fn take_deleted(&mut self) -> Vec<MachineId> {
+        std::mem::take(&mut self.deleted)
+    }
+
+    pub fn call(&mut self, now: f64, call: CloudCall) -> (CloudReply, Vec<MachineId>) {
+        let reply = match call {
+            CloudCall::Types => CloudReply::Types(MachineTypes {
+                types: vec![MachineType {
+                    name: "g8".into(),
+                    cpus: CPUS,
+                    gpus: GPUS,
+                    memory_gb: MEMORY_GB,
+                    cache_gb: 200.0,
+                    fetch_gb_per_s: FETCH,
+                    price: 12.0,
+                    spot_price: 4.0,
+                    boot_s: 10.0,
+                    zones: vec!["a".into(), "b".into()],
+                }],
+            }),
+            CloudCall::List { .. } => {
+                let as_of = now - LIST_LAG;
+                let listed = |o: &&Owned| {
+                    o.created <= as_of && o.unlisted_from.is_none_or(|from| from > as_of)
+                };
+                let machines = self.machines.iter().filter(|(_, o)| listed(o));
+                let machines = machines
+                    .map(|(id, o)| ListedMachine {
+                        machine: id.clone(),
+                        address: Some(id.to_string()),
+                        type_name: o.type_name.clone(),
+                        zone: o.zone.clone(),
+                        spot: o.spot,
+                        state: match o.running {
+                            Some(since) if since <= as_of => MachineState::Running,
+                            _ => MachineState::Booting,
+                        },
+                        age_s: as_of - o.created,
+                    })
+                    .collect();
+                CloudReply::List(MachineList { machines, more: false })
+            }
+            CloudCall::Rent(rental) => {
+                if let Some(names) = self.hires.get(&rental.request) {
+                    return (CloudReply::Rented(names.clone()), Vec::new());
+                }
+                if self.machines.len() >= CAPACITY {
+                    return (CloudReply::NoCapacity, Vec::new());
+                }
+                let machines: Vec<MachineId> = (0..rental.count)
+                    .map(|_| {
+                        let type_name = rental.type_name.as_str();
+                        self.create(type_name, rental.zone.as_str(), rental.spot, now)
+                    })
+                    .collect();
+                let names = MachineNames { machines: machines.clone() };
+                self.hires.insert(rental.request, names.clone());
+                return (CloudReply::Rented(names), machines);
+            }
+            CloudCall::Release(names) => {
+                for machine in names.machines {
+                    if self.machines.remove(&machine).is_some() {
+                        self.deleted.push(machine);
+                    }
+                }
+                CloudReply::Released
+            }
+        };
+        (reply, Vec::new())
+    }
+}
--- /dev/null
+++ b/tests/world/faults.rs
@@ -0,0 +1,235 @@
+//! What goes wrong, and between whom.
+
+use super::{Event, LEASE_S, NODES, RESTART_S, World};
+use ochredrum::ids::MachineId;
+use rand::Rng;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Who {
+    Node(usize),
+    /// Whoever leads when the fault begins.
+    Leader,
+    AllNodes,
+    State,
+    Cloud,
+    Machine(MachineId),
+    Workers,
+    /// State service and siblings, but not workers.
+    StateAndSiblings,
+    Everyone,
+}
+
+#[derive(Clone, Debug)]
+pub enum Fault {
+    Crash {
+        who: Who,
+        back_after: Option<f64>,
+    },
+    /// Crashes one after the other.
+    Roll {
+        every: f64,
+    },
+    Outage {
+        seconds: f64,
+    },
+    CloudOutage {
+        seconds: f64,
+    },
+    Refuse {
+        who: Who,
+        seconds: f64,
+    },
+    Cut {
+        who: Who,
+        from: Who,
+        seconds: f64,
+        hold: bool,
+    },
+    MachineDies {
+        which: usize,
+    },
+    MachineCut {
+        which: usize,
+        seconds: f64,
+        hold: bool,
+    },
+    /// Its reports arrive; answers and commands do not reach it.
+    MachineDeaf {
+        which: usize,
+        seconds: f64,
+    },
+    MachineNotice {
+        which: usize,
+        seconds: f64,
+    },
+    /// Copies of reports arrive again, seconds to well over a lease later.
+    Copies {
+        seconds: f64,
+    },
+}
+
+enum Kind {
+    Outage,
+    CloudOutage,
+    Refuse(usize),
+    Cut { a: Who, b: Who, hold: bool },
+    Deaf(MachineId),
+    Copies,
+}
+
+#[derive(Default)]
+pub struct Network {
+    faults: Vec<(u64, f64, Kind)>,
+    next: u64,
+    outage_began: Option<f64>,
+}
+
+impl Network {
+    fn add(&mut self, until: f64, kind: Kind) -> u64 {
+        self.next += 1;
+        self.faults.push((self.next, until, kind));
+        self.next
+    }
+
+    pub fn end(&mut self, id: u64) {
+        self.faults.retain(|(other, _, _)| *other != id);
+    }
+
+    fn cut_between(&self, from: &Who, to: &Who) -> Option<(f64, bool)> {
+        let covers = |group: &Who, who: &Who, other: &Who| match group {
+            Who::Everyone => who != other,
+            Who::Workers => matches!(who, Who::Machine(_)),
+            Who::AllNodes => matches!(who, Who::Node(_)),
+            Who::StateAndSiblings => matches!(who, Who::State | Who::Node(_)),
+            one => one == who,
+        };
+        self.faults.iter().find_map(|(_, until, kind)| match kind {
+            Kind::Cut { a, b, hold }
+                if (covers(a, from, to) && covers(b, to, from))
+                    || (covers(b, from, to) && covers(a, to, from)) =>
+            {
+                Some((*until, *hold))
+            }
+            _ => None,
+        })
+    }
+
+    pub fn passes(&self, from: Who, to: Who) -> bool {
+        self.cut_between(&from, &to).is_none()
+    }
+
+    /// When what is sent now will be delivered, if the cut holds packets.
+    pub fn held_until(&self, from: &Who, to: &Who) -> Option<f64> {
+        self.cut_between(from, to).filter(|(_, hold)| *hold).map(|(until, _)| until)
+    }
+
+    pub fn deaf(&self, machine: &MachineId) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Deaf(m) if m == machine))
+    }
+
+    pub fn copies(&self) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Copies))
+    }
+
+    pub fn cloud_down(&self) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::CloudOutage))
+    }
+
+    fn outage(&self) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Outage))
+    }
+
+    pub fn state_refuses(&self, node: usize) -> bool {
+        let refused = |kind: &Kind| matches!(kind, Kind::Refuse(n) if *n == node);
+        self.outage() || self.faults.iter().any(|(_, _, kind)| refused(kind))
+    }
+
+    /// After an outage every lease has its full time again: when the last outage ended.
+    pub fn take_outage_end(&mut self, now: f64) -> Option<f64> {
+        if self.outage() { None } else { self.outage_began.take().map(|_| now) }
+    }
+}
+
+impl World {
+    fn resolve(&self, who: &Who) -> Vec<usize> {
+        match who {
+            Who::Node(node) => vec![*node],
+            Who::Leader => self.leader().into_iter().collect(),
+            _ => (0..NODES).collect(),
+        }
+    }
+
+    fn machine_at(&self, which: usize) -> Option<MachineId> {
+        self.workers.keys().nth(which % self.workers.len().max(1)).cloned()
+    }
+
+    pub(super) fn fault(&mut self, fault: Fault) {
+        self.note(format!("fault {fault:?}"));
+        let now = self.now;
+        let mut lasting: Vec<(f64, Kind)> = Vec::new();
+        match fault {
+            Fault::Crash { who, back_after } => {
+                for node in self.resolve(&who) {
+                    self.crash(node, back_after.unwrap_or(RESTART_S));
+                }
+            }
+            Fault::Roll { every } => {
+                for node in 0..NODES {
+                    let who = Who::Node(node);
+                    let crash = Fault::Crash { who, back_after: Some(RESTART_S) };
+                    self.after(every * node as f64, Event::Fault(crash));
+                }
+            }
+            Fault::Outage { seconds } => {
+                self.net.outage_began = Some(now);
+                lasting.push((seconds, Kind::Outage));
+            }
+            Fault::CloudOutage { seconds } => lasting.push((seconds, Kind::CloudOutage)),
+            Fault::Refuse { who, seconds } => {
+                for node in self.resolve(&who) {
+                    lasting.push((seconds, Kind::Refuse(node)));
+                }
+            }
+            Fault::Cut { who, from, seconds, hold } => {
+                for node in self.resolve(&who) {
+                    let (a, b) = (Who::Node(node), from.clone());
+                    lasting.push((seconds, Kind::Cut { a, b, hold }));
+                }
+            }
+            Fault::MachineDies { which } => {
+                if let Some(machine) = self.machine_at(which) {
+                    self.users.starts_gone += self.workers[&machine].starts;
+                    self.workers.remove(&machine);
+                    self.cloud.died(&machine, now + 30.0);
+                }
+            }
+            Fault::MachineCut { which, seconds, hold } => {
+                if let Some(machine) = self.machine_at(which) {
+                    let (a, b) = (Who::Machine(machine), Who::AllNodes);
+                    lasting.push((seconds, Kind::Cut { a, b, hold }));
+                }
+            }
+            Fault::MachineDeaf { which, seconds } => {
+                if let Some(machine) = self.machine_at(which) {
+                    lasting.push((seconds, Kind::Deaf(machine)));
+                }
+            }
+            Fault::MachineNotice { which, seconds } => {
+                if let Some(machine) = self.machine_at(which) {
+                    self.notice(&machine, seconds);
+                }
+            }
+            Fault::Copies { seconds } => lasting.push((seconds, Kind::Copies)),
+        }
+        for (seconds, kind) in lasting {
+            let id = self.net.add(now + seconds, kind);
+            self.after(seconds, Event::FaultEnds(id));
+        }
+    }
+
+    /// Whether a copy of a report is to arrive again, and when.
+    pub(super) fn copy_delay(&mut self) -> Option<f64> {
+        (self.net.copies() && self.rng.random_bool(0.3))
+            .then(|| self.rng.random_range(0.5..LEASE_S * 2.5))
+    }
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,521 @@
+//! A small world in virtual time around real [`Core`]s: state service, cloud, workers, users and a
+//! network with faults, all by the published protocol. Every rule is checked as things happen.
+
+mod cloud;
+mod faults;
+mod state;
+mod users;
+mod worker;
+
+use cloud::Cloud;
+use faults::Network;
+use ochredrum::config::Config;
+use ochredrum::core::peers::MeshReply;
+use ochredrum::core::{
+    Answer, CallId, CloudCall, CloudReply, Core, Effect, Input, RequestId, StateCall, StateReply,
+    WorkerReply,
+};
+use ochredrum::ids::{MachineId, Node};
+use ochredrum::wire::{DirectOrders, JobSpec, Report};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use state::State;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use users::Users;
+use worker::Worker;
+
+pub use faults::{Fault, Who};
+
+pub const NODES: usize = 3;
+pub const REPORT_S: f64 = 1.0;
+pub const LEASE_S: f64 = 10.0;
+pub const GANG_PEER_S: f64 = 4.0;
+pub const CANCEL_S: f64 = 30.0;
+pub const GPUS_MAX: f64 = 24.0;
+const RESTART_S: f64 = 5.0;
+const TICK_S: f64 = 0.05;
+
+pub fn settings(index: usize) -> String {
+    let siblings: String = (0..NODES)
+        .filter(|other| *other != index)
+        .map(|other| {
+            format!(
+                "[[siblings]]\nhost_name = \"n{other}\"\naddr = \"127.0.0.1:{}\"\n",
+                9100 + other
+            )
+        })
+        .collect();
+    format!(
+        r#"
+host_name = "n{index}"
+area = "a"
+front = "127.0.0.1:{}"
+mesh_addr = "127.0.0.1:{}"
+{siblings}
+[services]
+cloud = "127.0.0.1:9301"
+state = "127.0.0.1:9302"
+[deployment]
+clock_error_ms = 5.0
+[[deployment.teams]]
+name = "blue"
+gpus = 8.0
+gpus_max = {GPUS_MAX}
+[[deployment.teams]]
+name = "red"
+[[deployment.objectives]]
+kind = "wait"
+class = "chat"
+within_s = 10.0
+[deployment.workers]
+report_s = {REPORT_S}
+lease_s = {LEASE_S}
+gang_wait_s = 30.0
+gang_peer_s = {GANG_PEER_S}
+cancel_s = {CANCEL_S}
+[deployment.state]
+rps = 120.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 8
+[deployment.cloud]
+rps = 2.0
+list_lag_s = 5.0
+[deployment.limits]
+mem_mb = 56.0
+fd_limit = 700
+"#,
+        9000 + index,
+        9100 + index
+    )
+}
+
+/// What happens at a moment.
+pub enum Event {
+    Tick { node: usize, epoch: u64 },
+    Input { node: usize, epoch: u64, input: Box<Input> },
+    State { node: usize, epoch: u64, call: CallId, what: StateCall },
+    Cloud { node: usize, epoch: u64, call: CallId, what: CloudCall },
+    Orders { node: usize, epoch: u64, call: CallId, address: String, orders: DirectOrders },
+    Mesh { from: usize, epoch: u64, call: CallId, to: usize, message: Box<Input> },
+    Report { machine: MachineId, node: usize, report: Report, live: bool },
+    ReportAnswer { machine: MachineId, number: u64, answer: Option<Answer> },
+    Worker { machine: MachineId },
+    BootDone { machine: MachineId },
+    Submit { job: usize },
+    Cancel { job: usize },
+    Poll { job: usize },
+    AskUnknown,
+    UserAnswer { job: Option<usize>, ask: users::Ask, answer: Option<Answer> },
+    Restart { node: usize },
+    Fault(Fault),
+    FaultEnds(u64),
+}
+
+struct Timed(f64, u64, Event);
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.1 == other.1
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
+    }
+}
+
+struct Controller {
+    core: Option<Core>,
+    epoch: u64,
+    started: f64,
+    /// Clocks run at slightly different rates.
+    rate: f64,
+    next_request: u64,
+    asked: BTreeMap<RequestId, Asker>,
+}
+
+enum Asker {
+    User { job: Option<usize>, ask: users::Ask },
+    Worker { machine: MachineId, number: u64, live: bool },
+    Sibling { from: usize, epoch: u64, call: CallId },
+}
+
+pub struct World {
+    pub now: f64,
+    sequence: u64,
+    events: BinaryHeap<Reverse<Timed>>,
+    rng: StdRng,
+    nodes: Vec<Controller>,
+    state: State,
+    cloud: Cloud,
+    workers: BTreeMap<MachineId, Worker>,
+    users: Users,
+    net: Network,
+    pub broken: Vec<String>,
+    pub log: Vec<String>,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let nodes = (0..NODES).map(|index| Controller {
+            core: None,
+            epoch: 0,
+            started: 0.0,
+            rate: 1.0 + (index as f64 - 1.0) * 0.0004,
+            next_request: 0,
+            asked: BTreeMap::new(),
+        });
+        let mut world = Self {
+            now: 0.0,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            nodes: nodes.collect(),
+            state: State::default(),
+            cloud: Cloud::default(),
+            workers: BTreeMap::new(),
+            users: Users::default(),
+            net: Network::default(),
+            broken: Vec::new(),
+            log: Vec::new(),
+        };
+        for node in 0..NODES {
+            world.at(0.1 * node as f64, Event::Restart { node });
+        }
+        world.at(7.0, Event::AskUnknown);
+        world
+    }
+
+    pub fn at(&mut self, time: f64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse(Timed(time, self.sequence, event)));
+    }
+
+    fn after(&mut self, delay: f64, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    fn note(&mut self, text: String) {
+        self.log.push(format!("{:8.3} {text}", self.now));
+    }
+
+    pub fn breaks(&mut self, rule: &str, what: String) {
+        let text = format!("{rule} at {:.3}: {what}", self.now);
+        self.note(text.clone());
+        self.broken.push(text);
+    }
+
+    /// Machines that are up at the start.
+    pub fn add_machines(&mut self, count: usize, spot: bool) {
+        for _ in 0..count {
+            let zone = ["a", "b"][self.cloud.count() % 2];
+            let machine = self.cloud.create("g8", zone, spot, self.now - 100.0);
+            self.boot(&machine);
+        }
+    }
+
+    pub fn add_job(&mut self, at: f64, spec: JobSpec, run_s: f64) -> usize {
+        let job = self.users.add(spec, run_s);
+        self.at(at, Event::Submit { job });
+        job
+    }
+
+    pub fn run(&mut self, until: f64) {
+        while let Some(Reverse(Timed(time, _, _))) = self.events.peek() {
+            if *time > until {
+                break;
+            }
+            let Some(Reverse(Timed(time, _, event))) = self.events.pop() else { break };
+            self.now = self.now.max(time);
+            self.happen(event);
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Tick { node, epoch } => {
+                if self.nodes[node].epoch == epoch && self.nodes[node].core.is_some() {
+                    self.step(node, Vec::new());
+                    self.after(TICK_S, Event::Tick { node, epoch });
+                }
+            }
+            Event::Input { node, epoch, input } => {
+                if self.nodes[node].epoch == epoch {
+                    self.step(node, vec![*input]);
+                }
+            }
+            Event::State { node, epoch, call, what } => self.state_request(node, epoch, call, what),
+            Event::Cloud { node, epoch, call, what } => self.cloud_request(node, epoch, call, what),
+            Event::Orders { node, epoch, call, address, orders } => {
+                self.direct_orders(node, epoch, call, &address, orders);
+            }
+            Event::Mesh { from, epoch, call, to, message } => {
+                self.ask_node(to, Asker::Sibling { from, epoch, call }, *message);
+            }
+            Event::Report { machine, node, report, live } => {
+                let number = report.seq;
+                let asker = Asker::Worker { machine, number, live };
+                self.ask_node(node, asker, Input::Report(RequestId(0), report));
+            }
+            Event::ReportAnswer { machine, number, answer } => {
+                self.report_answered(&machine, number, answer);
+            }
+            Event::Worker { machine } => self.worker_turn(&machine),
+            Event::BootDone { machine } => self.boot(&machine),
+            Event::Submit { job } => self.user_asks(job, users::Ask::Submit),
+            Event::Cancel { job } => self.user_asks(job, users::Ask::Cancel),
+            Event::Poll { job } => self.user_asks(job, users::Ask::Poll),
+            Event::AskUnknown => self.ask_unknown(),
+            Event::UserAnswer { job, ask, answer } => self.user_answered(job, ask, answer),
+            Event::Restart { node } => self.restart(node),
+            Event::Fault(fault) => self.fault(fault),
+            Event::FaultEnds(id) => self.net.end(id),
+        }
+    }
+
+    // ---- controllers ----
+
+    fn restart(&mut self, node: usize) {
+        let Ok(config) = Config::parse(&settings(node)) else { panic!("settings of the runner") };
+        let seed = self.rng.random();
+        let controller = &mut self.nodes[node];
+        if controller.core.is_some() {
+            return;
+        }
+        controller.epoch += 1;
+        controller.started = self.now;
+        controller.core = Some(Core::new(config, seed));
+        let epoch = controller.epoch;
+        self.note(format!("n{node} starts"));
+        self.at(self.now, Event::Tick { node, epoch });
+    }
+
+    fn crash(&mut self, node: usize, back_after: f64) {
+        if self.nodes[node].core.take().is_some() {
+            self.nodes[node].epoch += 1;
+            // Whoever asked sees the connection break.
+            for (_, asker) in std::mem::take(&mut self.nodes[node].asked) {
+                if let Asker::User { job, ask } = asker {
+                    self.after(0.0, Event::UserAnswer { job, ask, answer: None });
+                }
+            }
+            self.note(format!("n{node} crashes"));
+            self.after(back_after, Event::Restart { node });
+        }
+    }
+
+    fn clock(&self, node: usize) -> f64 {
+        (self.now - self.nodes[node].started) * self.nodes[node].rate
+    }
+
+    /// The controller that acts, if one does.
+    pub fn leader(&self) -> Option<usize> {
+        (0..NODES).find(|node| {
+            self.nodes[*node].core.as_ref().is_some_and(|core| core.leads(self.clock(*node)))
+        })
+    }
+
+    fn ask_node(&mut self, node: usize, asker: Asker, input: Input) {
+        if self.nodes[node].core.is_none() {
+            return self.answer_asker(node, asker, None, None);
+        }
+        let controller = &mut self.nodes[node];
+        controller.next_request += 1;
+        let request = RequestId(controller.next_request);
+        controller.asked.insert(request, asker);
+        let input = match input {
+            Input::User(_, what) => Input::User(request, what),
+            Input::Report(_, report) => Input::Report(request, report),
+            Input::Mesh(_, message) => Input::Mesh(request, message),
+            other => other,
+        };
+        self.step(node, vec![input]);
+    }
+
+    fn answer_asker(
+        &mut self,
+        node: usize,
+        asker: Asker,
+        answer: Option<Answer>,
+        mesh: Option<MeshReply>,
+    ) {
+        let delay = self.latency();
+        match asker {
+            Asker::User { job, ask } => self.after(delay, Event::UserAnswer { job, ask, answer }),
+            Asker::Worker { machine, number, live } => {
+                let passes = self.net.passes(Who::Node(node), Who::Machine(machine.clone()));
+                if live && passes && !self.net.deaf(&machine) {
+                    self.after(delay, Event::ReportAnswer { machine, number, answer });
+                }
+            }
+            Asker::Sibling { from, epoch, call } => {
+                if self.net.passes(Who::Node(node), Who::Node(from)) {
+                    let input = Box::new(Input::MeshReply(call, mesh));
+                    self.after(delay, Event::Input { node: from, epoch, input });
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, node: usize, batch: Vec<Input>) {
+        let now = self.clock(node);
+        let wall = 1_700_000_000_000 + (self.now * 1e3) as u64;
+        let Some(core) = self.nodes[node].core.as_mut() else { return };
+        let effects = core.step(now, wall, batch);
+        for effect in effects {
+            self.effect(node, effect);
+        }
+        self.one_leader();
+    }
+
+    /// Nobody else may be entitled to command a machine that somebody commands.
+    fn one_leader(&mut self) {
+        let leaders = (0..NODES).filter(|node| {
+            self.nodes[*node].core.as_ref().is_some_and(|core| core.leads(self.clock(*node)))
+        });
+        if leaders.count() > 1 {
+            self.breaks("two_leaders", "two controllers lead at once".into());
+        }
+    }
+
+    fn effect(&mut self, node: usize, effect: Effect) {
+        let epoch = self.nodes[node].epoch;
+        let me = Who::Node(node);
+        match effect {
+            Effect::Answer(request, answer) => {
+                if let Some(asker) = self.nodes[node].asked.remove(&request) {
+                    self.answer_asker(node, asker, Some(answer), None);
+                }
+            }
+            Effect::MeshAnswer(request, reply) => {
+                if let Some(asker) = self.nodes[node].asked.remove(&request) {
+                    self.answer_asker(node, asker, None, Some(reply));
+                }
+            }
+            Effect::State(call, what) => {
+                let lost = Box::new(Input::State(call, StateReply::Unknown));
+                let unsent = Box::new(Input::State(call, StateReply::Refused));
+                let event = Event::State { node, epoch, call, what };
+                self.send(me, Who::State, LEASE_S / 12.0, event, node, lost, unsent);
+            }
+            Effect::Cloud(call, what) => {
+                let lost = Box::new(Input::Cloud(call, CloudReply::Unknown));
+                let unsent = Box::new(Input::Cloud(call, CloudReply::Refused));
+                let event = Event::Cloud { node, epoch, call, what };
+                self.send(me, Who::Cloud, LEASE_S / 3.0, event, node, lost, unsent);
+            }
+            Effect::Worker(call, address, orders) => {
+                let lost = Box::new(Input::Worker(call, WorkerReply::Unknown));
+                let unsent = Box::new(Input::Worker(call, WorkerReply::NotSent));
+                let machine = MachineId::from(address.as_str());
+                let event = Event::Orders { node, epoch, call, address, orders };
+                let to = Who::Machine(machine);
+                self.send(me, to, LEASE_S / 10.0, event, node, lost, unsent);
+            }
+            Effect::Mesh(call, to, message) => {
+                let Some(to) = index(&to) else { return };
+                let lost = Box::new(Input::MeshReply(call, None));
+                let unsent = Box::new(Input::MeshReply(call, None));
+                let message = Box::new(Input::Mesh(RequestId(0), message));
+                let event = Event::Mesh { from: node, epoch, call, to, message };
+                self.send(me, Who::Node(to), LEASE_S / 12.0, event, node, lost, unsent);
+            }
+        }
+    }
+
+    /// Sends a call over the network. The caller gives up at its deadline; a cut drops the call,
+    /// or holds it and delivers it when the cut ends.
+    #[allow(clippy::too_many_arguments)]
+    fn send(
+        &mut self,
+        from: Who,
+        to: Who,
+        deadline: f64,
+        event: Event,
+        node: usize,
+        lost: Box<Input>,
+        unsent: Box<Input>,
+    ) {
+        let epoch = self.nodes[node].epoch;
+        if self.net.passes(from.clone(), to.clone()) {
+            let delay = self.latency();
+            self.after(delay, event);
+            return self.after(deadline, Event::Input { node, epoch, input: lost });
+        }
+        match self.net.held_until(&from, &to) {
+            Some(end) if self.rng.random_bool(0.5) => {
+                self.at(end + 0.01, event);
+                self.after(deadline, Event::Input { node, epoch, input: lost });
+            }
+            _ => self.after(deadline, Event::Input { node, epoch, input: unsent }),
+        }
+    }
+
+    fn latency(&mut self) -> f64 {
+        if self.rng.random_bool(0.01) {
+            self.rng.random_range(0.05..0.4)
+        } else {
+            self.rng.random_range(0.001..0.006)
+        }
+    }
+
+    fn reply(&mut self, node: usize, epoch: u64, from: Who, input: Input) {
+        if self.net.passes(from, Who::Node(node)) {
+            let delay = self.latency();
+            self.after(delay, Event::Input { node, epoch, input: Box::new(input) });
+        }
+    }
+
+    fn state_request(&mut self, node: usize, epoch: u64, call: CallId, what: StateCall) {
+        let reply = if self.net.state_refuses(node) {
+            StateReply::Refused
+        } else {
+            let down_for = self.net.take_outage_end(self.now);
+            self.state.call(self.now, what, down_for)
+        };
+        self.reply(node, epoch, Who::State, Input::State(call, reply));
+    }
+
+    fn cloud_request(&mut self, node: usize, epoch: u64, call: CallId, what: CloudCall) {
+        if self.net.cloud_down() {
+            let input = Input::Cloud(call, CloudReply::Refused);
+            return self.reply(node, epoch, Who::Cloud, input);
+        }
+        let (reply, booting) = self.cloud.call(self.now, what);
+        for machine in booting {
+            let boot = self.rng.random_range(6.0..14.0);
+            self.after(boot, Event::BootDone { machine });
+        }
+        for machine in self.cloud.take_deleted() {
+            self.note(format!("{machine} deleted"));
+            if let Some(worker) = self.workers.remove(&machine) {
+                self.users.starts_gone += worker.starts;
+            }
+        }
+        self.reply(node, epoch, Who::Cloud, Input::Cloud(call, reply));
+    }
+
+    /// Everything that was asked for is served, now that all troubles are over.
+    pub fn check_served(&mut self) {
+        for (id, problem) in self.unserved() {
+            self.breaks("not_served", format!("{id}: {problem}"));
+        }
+    }
+
+    pub fn starts(&self) -> u64 {
+        self.workers.values().map(|w| w.starts).sum::<u64>() + self.users.starts_gone
+    }
+}
+
+fn index(node: &Node) -> Option<usize> {
+    node.as_str().strip_prefix('n')?.parse().ok().filter(|index| *index < NODES)
+}
--- /dev/null
+++ b/tests/world/state.rs
@@ -0,0 +1,131 @@
+//! The state service's stand-in.
+
+use ochredrum::core::{StateCall, StateReply};
+use ochredrum::wire::{Change, Changes, Entry, Listing, Write};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+struct Key {
+    value: Value,
+    version: u64,
+    lease: Option<u64>,
+}
+
+struct Lease {
+    ttl: f64,
+    ends: f64,
+}
+
+#[derive(Default)]
+pub struct State {
+    keys: BTreeMap<String, Key>,
+    leases: BTreeMap<u64, Lease>,
+    revision: u64,
+    log: Vec<Change>,
+    next_lease: u64,
+}
+
+impl State {
+    /// `outage_ended`: leases have their full time again from then on.
+    pub fn call(&mut self, now: f64, call: StateCall, outage_ended: Option<f64>) -> StateReply {
+        if let Some(end) = outage_ended {
+            for lease in self.leases.values_mut() {
+                lease.ends = end + lease.ttl;
+            }
+        }
+        self.expire(now);
+        match call {
+            StateCall::List { prefix, from } => {
+                let after = |key: &String| from.as_ref().is_none_or(|from| key > from);
+                let all = self.keys.iter().filter(|(k, _)| k.starts_with(prefix) && after(k));
+                let entries: Vec<Entry> = all
+                    .map(|(key, k)| Entry {
+                        key: key.clone(),
+                        value: k.value.clone(),
+                        version: k.version,
+                    })
+                    .collect();
+                let more = entries.len() > 20;
+                let entries = entries.into_iter().take(20).collect();
+                StateReply::Listing(Listing { entries, more, revision: self.revision })
+            }
+            StateCall::Changes { prefix, from } => {
+                let hit = |c: &&Change| {
+                    let key = c.put.as_ref().or(c.deleted.as_ref());
+                    c.version > from && key.is_some_and(|key| key.starts_with(prefix))
+                };
+                let events = self.log.iter().filter(hit).cloned().collect();
+                StateReply::Changes(Changes { revision: self.revision, events })
+            }
+            StateCall::Commit(transaction) => {
+                let version = |key: &String| self.keys.get(key).map_or(0, |k| k.version);
+                if transaction.guards.iter().any(|g| version(&g.key) != g.version) {
+                    return StateReply::Conflict;
+                }
+                let dead = |write: &Write| matches!(write, Write::Put { lease: Some(lease), .. } if !self.leases.contains_key(lease));
+                if transaction.writes.iter().any(dead) {
+                    return StateReply::LeaseGone;
+                }
+                self.revision += 1;
+                for write in transaction.writes {
+                    self.write(write);
+                }
+                StateReply::Committed(self.revision)
+            }
+            StateCall::LeaseCreate { ttl_ms } => {
+                self.next_lease += 1;
+                let ttl = ttl_ms as f64 / 1e3;
+                self.leases.insert(self.next_lease, Lease { ttl, ends: now + ttl });
+                StateReply::Lease(self.next_lease)
+            }
+            StateCall::LeaseRenew { lease } => match self.leases.get_mut(&lease) {
+                Some(lease) => {
+                    lease.ends = now + lease.ttl;
+                    StateReply::Done
+                }
+                None => StateReply::LeaseGone,
+            },
+            StateCall::LeaseEnd { lease } => {
+                if let Some(lease) = self.leases.get_mut(&lease) {
+                    lease.ends = now;
+                    self.expire(now + 1e-9);
+                    return StateReply::Done;
+                }
+                StateReply::LeaseGone
+            }
+        }
+    }
+
+    fn expire(&mut self, now: f64) {
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, l)| l.ends < now).map(|(id, _)| *id).collect();
+        for id in ended {
+            self.leases.remove(&id);
+            let hangs = |k: &Key| k.lease == Some(id);
+            let gone: Vec<String> =
+                self.keys.iter().filter(|(_, k)| hangs(k)).map(|(key, _)| key.clone()).collect();
+            if !gone.is_empty() {
+                self.revision += 1;
+            }
+            for key in gone {
+                self.write(Write::Delete { key });
+            }
+        }
+    }
+
+    fn write(&mut self, write: Write) {
+        let version = self.revision;
+        let change = match write {
+            Write::Put { key, value, lease } => {
+                assert!(value.to_string().len() <= 4096, "value of {key} over the limit");
+                self.keys.insert(key.clone(), Key { value: value.clone(), version, lease });
+                Change { put: Some(key), deleted: None, value, version }
+            }
+            Write::Delete { key } => {
+                self.keys.remove(&key);
+                Change { put: None, deleted: Some(key), value: Value::Null, version }
+            }
+        };
+        self.log.push(change);
+    }
+}
--- /dev/null
+++ b/tests/world/users.rs
@@ -0,0 +1,200 @@
+//! Users: they submit, poll and cancel, and hold the service to what it told them.
+
+use super::{Asker, CANCEL_S, Event, NODES, World};
+use ochredrum::core::{Answer, Body, Input, RequestId, UserRequest};
+use ochredrum::ids::{JobId, TaskId};
+use ochredrum::wire::{JobSpec, Kind};
+use rand::Rng;
+use std::collections::BTreeSet;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    Submit,
+    Poll,
+    Cancel,
+}
+
+struct User {
+    id: JobId,
+    spec: JobSpec,
+    run_s: f64,
+    accepted: bool,
+    wants_cancel: bool,
+    told_done: bool,
+    told_cancelled: Option<f64>,
+    finished: BTreeSet<u32>,
+}
+
+#[derive(Default)]
+pub struct Users {
+    jobs: Vec<User>,
+    /// Starts on machines that are gone.
+    pub starts_gone: u64,
+}
+
+impl Users {
+    pub fn add(&mut self, spec: JobSpec, run_s: f64) -> usize {
+        let id = JobId::from(format!("req-{:06}", self.jobs.len() + 1));
+        self.jobs.push(User {
+            id,
+            spec,
+            run_s,
+            accepted: false,
+            wants_cancel: false,
+            told_done: false,
+            told_cancelled: None,
+            finished: BTreeSet::new(),
+        });
+        self.jobs.len() - 1
+    }
+
+    fn find(&self, id: &JobId) -> Option<&User> {
+        self.jobs.iter().find(|job| job.id == *id)
+    }
+
+    pub fn spec(&self, id: &JobId) -> Option<&JobSpec> {
+        self.find(id).map(|job| &job.spec)
+    }
+
+    /// A finished task's result is kept: started again it ends at once.
+    pub fn run_s(&self, task: &TaskId) -> f64 {
+        let job = self.find(&task.job);
+        job.map_or(0.0, |j| if j.finished.contains(&task.index) { 0.0 } else { j.run_s })
+    }
+
+    pub fn finished(&mut self, task: &TaskId) {
+        if let Some(job) = self.jobs.iter_mut().find(|job| job.id == task.job) {
+            job.finished.insert(task.index);
+        }
+    }
+
+    pub fn is_finished_any(&self, id: &JobId) -> bool {
+        self.find(id).is_some_and(|job| !job.finished.is_empty())
+    }
+
+    pub fn cancelled_for_long(&self, id: &JobId, now: f64) -> bool {
+        let told = self.find(id).and_then(|job| job.told_cancelled);
+        told.is_some_and(|at| now > at + CANCEL_S)
+    }
+}
+
+impl World {
+    pub(super) fn user_asks(&mut self, job: usize, ask: Ask) {
+        let user = &mut self.users.jobs[job];
+        let id = user.id.clone();
+        let what = match ask {
+            Ask::Submit => UserRequest::Submit(id, Box::new(user.spec.clone())),
+            Ask::Poll => UserRequest::Poll(id),
+            Ask::Cancel => {
+                user.wants_cancel = true;
+                UserRequest::Cancel(id)
+            }
+        };
+        let node = self.rng.random_range(0..NODES);
+        self.ask_node(node, Asker::User { job: Some(job), ask }, Input::User(RequestId(0), what));
+    }
+
+    pub(super) fn ask_unknown(&mut self) {
+        let node = self.rng.random_range(0..NODES);
+        let what = UserRequest::Poll("req-999999".into());
+        let asker = Asker::User { job: None, ask: Ask::Poll };
+        self.ask_node(node, asker, Input::User(RequestId(0), what));
+        self.after(7.0, Event::AskUnknown);
+    }
+
+    pub(super) fn user_answered(&mut self, job: Option<usize>, ask: Ask, answer: Option<Answer>) {
+        let status = answer.as_ref().map(|answer| answer.status);
+        let Some(job) = job else {
+            if status == Some(200) {
+                self.breaks("invented", "a job that nobody submitted".into());
+            }
+            return;
+        };
+        let stance = match answer.map(|answer| answer.body) {
+            Some(Body::Value(body)) => body["stance"].as_str().unwrap_or("").to_owned(),
+            _ => String::new(),
+        };
+        let user = &mut self.users.jobs[job];
+        let id = user.id.clone();
+        match (ask, status) {
+            (_, Some(200 | 201)) => {
+                if ask == Ask::Submit && !user.accepted {
+                    user.accepted = true;
+                    self.after(1.0, Event::Poll { job });
+                }
+                return self.check_told(job, &stance);
+            }
+            (Ask::Poll, Some(404)) if user.accepted => {
+                self.breaks("forgotten", format!("{id} is answered 404"));
+            }
+            (Ask::Submit, Some(status @ (400 | 422))) if user.accepted => {
+                self.breaks("forgotten", format!("{id} is answered {status}"));
+            }
+            _ => {}
+        }
+        match ask {
+            Ask::Submit => self.after(1.0, Event::Submit { job }),
+            Ask::Cancel => self.after(1.0, Event::Cancel { job }),
+            Ask::Poll => self.after(5.0, Event::Poll { job }),
+        }
+    }
+
+    fn check_told(&mut self, job: usize, stance: &str) {
+        let now = self.now;
+        let user = &mut self.users.jobs[job];
+        let id = user.id.clone();
+        let mut broken: Vec<(&str, String)> = Vec::new();
+        match stance {
+            "done" => {
+                if (user.finished.len() as u32) < user.spec.tasks {
+                    broken.push(("not_done", format!("{id} is called done")));
+                }
+                if user.told_cancelled.is_some() {
+                    broken.push(("went_back", format!("{id} was cancelled, is called done")));
+                }
+                user.told_done = true;
+            }
+            "withdrawn" => {
+                if !user.wants_cancel || user.told_done {
+                    broken.push(("went_back", format!("{id} is called cancelled")));
+                }
+                if user.told_cancelled.is_none() {
+                    user.told_cancelled = Some(now);
+                }
+            }
+            _ => {
+                if user.told_done || user.told_cancelled.is_some() {
+                    broken.push(("went_back", format!("{id} is called {stance}")));
+                }
+            }
+        }
+        let over = user.told_done || user.told_cancelled.is_some();
+        for (rule, what) in broken {
+            self.breaks(rule, what);
+        }
+        // Users may ask at any later time, only less often.
+        self.after(if over { 20.0 } else { 5.0 }, Event::Poll { job });
+        if self.users.cancelled_for_long(&id, now) && self.tasks_on(&id) > 0 {
+            self.breaks("ran_cancelled", format!("{id} still has tasks"));
+        }
+    }
+
+    /// Jobs that are not as their users expect by now.
+    pub(super) fn unserved(&self) -> Vec<(JobId, String)> {
+        let mut unserved = Vec::new();
+        for user in &self.users.jobs {
+            let on = self.tasks_on(&user.id);
+            let problem = if !user.accepted {
+                Some("not accepted".to_owned())
+            } else if user.told_cancelled.is_some() {
+                (on > 0).then(|| format!("cancelled, {on} tasks on machines"))
+            } else if user.spec.kind == Kind::Service {
+                (on < user.spec.tasks as usize).then(|| format!("{on} of {} up", user.spec.tasks))
+            } else {
+                (!user.told_done).then(|| format!("{} done, {on} on machines", user.finished.len()))
+            };
+            unserved.extend(problem.map(|problem| (user.id.clone(), problem)));
+        }
+        unserved
+    }
+}
--- /dev/null
+++ b/tests/world/worker.rs
@@ -0,0 +1,472 @@
+//! Workers: reports, leases, sessions, tokens, and tasks as the protocol has them.
+
+use super::cloud::{CPUS, FETCH, GPUS, MEMORY_GB};
+use super::faults::Who;
+use super::{Event, GANG_PEER_S, GPUS_MAX, LEASE_S, NODES, REPORT_S, World};
+use ochredrum::core::{Answer, Body, CallId, Input, WorkerReply};
+use ochredrum::ids::{Attempt, JobId, MachineId, TaskId, Term};
+use ochredrum::wire::{DirectOrders, Exit, Kind, Order, Report, ReportedTask, TaskState};
+use rand::Rng;
+use std::collections::BTreeMap;
+
+const ANSWER_WAIT: f64 = 4.0;
+/// How often a worker looks at its lease and its tasks.
+const TURN: f64 = 0.1;
+
+#[derive(Clone, Debug)]
+pub struct Running {
+    pub state: TaskState,
+    pub why: Option<Exit>,
+    pub saved: bool,
+    /// When the present state ends by itself.
+    until: f64,
+}
+
+impl Running {
+    /// On its machine by the rules: from when it has its image until it exits.
+    pub fn on_machine(&self) -> bool {
+        matches!(self.state, TaskState::Waiting | TaskState::Running | TaskState::Saving)
+    }
+}
+
+pub struct Worker {
+    pub id: MachineId,
+    session: u64,
+    seq: u64,
+    token: Term,
+    /// When the last answered report was sent, or the session began.
+    renewed: f64,
+    node: usize,
+    out: Option<(u64, f64)>,
+    next_report: f64,
+    last_report: f64,
+    changed: bool,
+    token_news: f64,
+    leaves: Option<f64>,
+    images: Vec<String>,
+    pub tasks: BTreeMap<(TaskId, Attempt), Running>,
+    pub starts: u64,
+}
+
+impl Worker {
+    fn report(&mut self, now: f64, cloud: &super::cloud::Cloud) -> Report {
+        self.seq += 1;
+        let owned = cloud.get(&self.id);
+        let tasks = self.tasks.iter().map(|((task, attempt), running)| ReportedTask {
+            task: task.to_string(),
+            attempt: *attempt,
+            state: running.state,
+            why: running.why,
+            saved: running.saved.then_some(true),
+        });
+        Report {
+            machine: self.id.clone(),
+            address: self.id.to_string(),
+            type_name: owned.map_or("g8".into(), |o| o.type_name.clone()),
+            zone: owned.map_or("a".into(), |o| o.zone.clone()),
+            spot: owned.is_some_and(|o| o.spot),
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.leaves.map(|at| at - now),
+            tasks: tasks.collect(),
+        }
+    }
+}
+
+impl World {
+    pub(super) fn boot(&mut self, machine: &MachineId) {
+        if self.cloud.get(machine).is_none() {
+            return;
+        }
+        self.cloud.up(machine, self.now);
+        let worker = Worker {
+            id: machine.clone(),
+            session: 1,
+            seq: 0,
+            token: Term(0),
+            renewed: self.now,
+            node: self.rng.random_range(0..NODES),
+            out: None,
+            next_report: self.now,
+            last_report: self.now,
+            changed: false,
+            token_news: f64::NEG_INFINITY,
+            leaves: None,
+            images: Vec::new(),
+            tasks: BTreeMap::new(),
+            starts: 0,
+        };
+        self.workers.insert(machine.clone(), worker);
+        self.after(0.0, Event::Worker { machine: machine.clone() });
+    }
+
+    pub(super) fn notice(&mut self, machine: &MachineId, seconds: f64) {
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(machine) {
+            worker.leaves = Some(now + seconds);
+            worker.changed = true;
+        }
+    }
+
+    pub(super) fn worker_turn(&mut self, id: &MachineId) {
+        let now = self.now;
+        self.advance_tasks(id);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.leaves.is_some_and(|at| now >= at) {
+            self.users.starts_gone += worker.starts;
+            self.workers.remove(id);
+            self.cloud.call(now, release(id));
+            self.cloud.take_deleted();
+            return;
+        }
+        if now - worker.renewed > LEASE_S {
+            worker.tasks.clear();
+            worker.session += 1;
+            worker.renewed = now;
+            worker.changed = true;
+        }
+        if worker.out.is_some_and(|(_, sent)| now - sent > ANSWER_WAIT) {
+            worker.out = None;
+            worker.node = (worker.node + 1) % NODES;
+            worker.next_report = now + 1.0;
+        }
+        let urgent = worker.changed && now >= worker.last_report + 0.5;
+        if worker.out.is_none() && (now >= worker.next_report || urgent) {
+            worker.changed = false;
+            worker.last_report = now;
+            worker.next_report = now + REPORT_S * self.rng.random_range(0.75..1.25);
+            let report = worker.report(now, &self.cloud);
+            let node = worker.node;
+            worker.out = Some((report.seq, now));
+            self.send_report(id, node, report);
+        }
+        self.after(TURN, Event::Worker { machine: id.clone() });
+    }
+
+    fn send_report(&mut self, id: &MachineId, node: usize, report: Report) {
+        let (me, to) = (Who::Machine(id.clone()), Who::Node(node));
+        let event = |report: &Report, live| Event::Report {
+            machine: id.clone(),
+            node,
+            report: report.clone(),
+            live,
+        };
+        if let Some(delay) = self.copy_delay() {
+            self.after(delay, event(&report, false));
+        }
+        if self.net.passes(me.clone(), to.clone()) {
+            let delay = self.latency();
+            self.after(delay, event(&report, true));
+        } else if let Some(end) = self.net.held_until(&me, &to) {
+            self.at(end + 0.01, event(&report, false));
+        }
+    }
+
+    pub(super) fn report_answered(&mut self, id: &MachineId, number: u64, answer: Option<Answer>) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some((out, sent)) = worker.out.filter(|(out, _)| *out == number) else { return };
+        debug_assert_eq!(out, number);
+        worker.out = None;
+        match answer {
+            Some(Answer { status: 200, body: Body::Orders(answer), .. }) => {
+                // Answers to reports of an earlier session are dropped.
+                if answer.token < worker.token || sent < worker.renewed {
+                    return;
+                }
+                if answer.token > worker.token {
+                    worker.token = answer.token;
+                    if now - worker.token_news > LEASE_S / 2.0 {
+                        worker.token_news = now;
+                        worker.changed = true;
+                    }
+                }
+                worker.renewed = sent;
+                for order in answer.orders {
+                    self.execute(id, order);
+                }
+            }
+            Some(Answer { status: 421, body: Body::Value(body), .. }) => {
+                let named = body["conductor"].as_str().and_then(|n| n.strip_prefix('n'));
+                match named.and_then(|n| n.parse::<usize>().ok()).filter(|n| *n != worker.node) {
+                    Some(node) => {
+                        worker.node = node;
+                        worker.next_report = now;
+                    }
+                    None => {
+                        worker.node = (worker.node + 1) % NODES;
+                        worker.next_report = now + 1.0;
+                    }
+                }
+            }
+            _ => {
+                worker.node = (worker.node + 1) % NODES;
+                worker.next_report = now + 1.0;
+            }
+        }
+    }
+
+    pub(super) fn direct_orders(
+        &mut self,
+        node: usize,
+        epoch: u64,
+        call: CallId,
+        address: &str,
+        orders: DirectOrders,
+    ) {
+        let id = MachineId::from(address);
+        if self.net.deaf(&id) {
+            return;
+        }
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let fenced = orders.token < worker.token || orders.session != worker.session;
+        if !fenced {
+            worker.token = orders.token;
+            for order in orders.orders {
+                self.execute(&id, order);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let report = worker.report(now, &self.cloud);
+        let reply =
+            if fenced { WorkerReply::Fenced(report) } else { WorkerReply::Executed(report) };
+        self.reply(node, epoch, Who::Machine(id), Input::Worker(call, reply));
+    }
+
+    fn execute(&mut self, id: &MachineId, order: Order) {
+        let now = self.now;
+        match order {
+            Order::Start { task, attempt } => {
+                let Some(task) = TaskId::parse(&task) else {
+                    return self.breaks("bad_order", format!("start of {task:?}"));
+                };
+                self.execute_start(id, task, attempt);
+            }
+            Order::Stop { task, attempt, grace_s } => {
+                let Some(task) = TaskId::parse(&task) else { return };
+                let save = self.users.spec(&task.job).map(|s| (s.checkpoint_s, s.save_s));
+                let Some(worker) = self.workers.get_mut(id) else { return };
+                let Some(running) = worker.tasks.get_mut(&(task, attempt)) else { return };
+                if running.state == TaskState::Exited {
+                    return;
+                }
+                let (checkpoint, save) = save.unwrap_or((0.0, 0.0));
+                let saves = checkpoint > 0.0 && grace_s >= save;
+                if saves && running.state == TaskState::Running {
+                    running.state = TaskState::Saving;
+                    running.until = now + save;
+                } else if running.state != TaskState::Saving || grace_s == 0.0 {
+                    exit(running, Exit::Stopped);
+                }
+                worker.changed = true;
+            }
+            Order::Forget { task, attempt } => {
+                let Some(task) = TaskId::parse(&task) else { return };
+                if let Some(worker) = self.workers.get_mut(id) {
+                    let key = (task, attempt);
+                    if worker.tasks.get(&key).is_some_and(|t| t.state == TaskState::Exited) {
+                        worker.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    fn execute_start(&mut self, id: &MachineId, task: TaskId, attempt: Attempt) {
+        let now = self.now;
+        let Some(spec) = self.users.spec(&task.job).cloned() else {
+            return self.breaks("bad_order", format!("start of unknown {task}"));
+        };
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.tasks.contains_key(&(task.clone(), attempt)) {
+            return;
+        }
+        worker.changed = true;
+        let mut room = (GPUS, CPUS, MEMORY_GB);
+        let mut busy = false;
+        for ((other, _), running) in &worker.tasks {
+            if running.state == TaskState::Exited {
+                continue;
+            }
+            busy |= *other == task;
+            if let Some(spec) = self.users.spec(&other.job) {
+                room = (room.0 - spec.gpus, room.1 - spec.cpus, room.2 - spec.memory_gb);
+            }
+        }
+        let image = spec.image.to_string();
+        let cached = worker.images.contains(&image);
+        let fetch = if cached { 0.05 } else { spec.image_gb / FETCH };
+        let mut running =
+            Running { state: TaskState::Fetching, why: None, saved: false, until: now + fetch };
+        let full = room.0 < spec.gpus - 1e-6
+            || room.1 < spec.cpus - 1e-6
+            || room.2 < spec.memory_gb - 1e-6;
+        if busy {
+            exit(&mut running, Exit::Busy);
+        } else if full {
+            exit(&mut running, Exit::NoRoom);
+            self.note(format!("{id} has no room for {task}"));
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.tasks.insert((task, attempt), running);
+        }
+    }
+
+    /// Tasks get their images, run, save and end.
+    fn advance_tasks(&mut self, id: &MachineId) {
+        let now = self.now;
+        let Some(worker) = self.workers.get(id) else { return };
+        let due: Vec<(TaskId, Attempt)> = worker
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.state != TaskState::Exited && t.until <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for (task, attempt) in due {
+            let Some(spec) = self.users.spec(&task.job).cloned() else { continue };
+            let run_s = self.users.run_s(&task);
+            let Some(worker) = self.workers.get_mut(id) else { return };
+            let Some(running) = worker.tasks.get_mut(&(task.clone(), attempt)) else { continue };
+            worker.changed = true;
+            match running.state {
+                TaskState::Fetching => {
+                    running.state = TaskState::Waiting;
+                    running.until = now;
+                    let image = spec.image.to_string();
+                    if !worker.images.contains(&image) {
+                        worker.images.push(image);
+                    }
+                    worker.starts += 1;
+                    self.check_start(id, &task, attempt);
+                }
+                TaskState::Waiting => {
+                    if spec.kind == Kind::Gang && !self.gang_complete(&task, attempt, spec.tasks) {
+                        continue;
+                    }
+                    if let Some(worker) = self.workers.get_mut(id)
+                        && let Some(running) = worker.tasks.get_mut(&(task.clone(), attempt))
+                    {
+                        running.state = TaskState::Running;
+                        running.until =
+                            if spec.kind == Kind::Service { f64::INFINITY } else { now + run_s };
+                    }
+                }
+                TaskState::Running => {
+                    exit(running, Exit::Done);
+                    self.users.finished(&task);
+                }
+                TaskState::Saving => {
+                    running.saved = true;
+                    exit(running, Exit::Stopped);
+                }
+                TaskState::Exited => {}
+            }
+        }
+        self.gang_losses(id);
+    }
+
+    fn gang_complete(&self, task: &TaskId, attempt: Attempt, tasks: u32) -> bool {
+        let mut ready = 0;
+        for worker in self.workers.values() {
+            for ((other, same), running) in &worker.tasks {
+                if other.job == task.job && *same == attempt && running.on_machine() {
+                    ready += 1;
+                }
+            }
+        }
+        ready >= tasks
+    }
+
+    /// Running gang tasks notice that another of their attempt is gone.
+    fn gang_losses(&mut self, id: &MachineId) {
+        let now = self.now;
+        let Some(worker) = self.workers.get(id) else { return };
+        let mut lonely = Vec::new();
+        for ((task, attempt), running) in &worker.tasks {
+            let Some(spec) = self.users.spec(&task.job) else { continue };
+            let gang = spec.kind == Kind::Gang && spec.tasks > 1;
+            if gang
+                && running.state == TaskState::Running
+                && !self.users.is_finished_any(&task.job)
+                && !self.gang_complete(task, *attempt, spec.tasks)
+                && running.until > now + GANG_PEER_S
+            {
+                lonely.push((task.clone(), *attempt));
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            for key in lonely {
+                if let Some(running) = worker.tasks.get_mut(&key) {
+                    exit(running, Exit::PeersGone);
+                    worker.changed = true;
+                }
+            }
+        }
+    }
+
+    /// The rules about a task that starts: it has its image from now on.
+    fn check_start(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt) {
+        let Some(spec) = self.users.spec(&task.job).cloned() else { return };
+        let Some(owned) = self.cloud.get(id) else { return };
+        let (zone, spot, type_name) = (owned.zone.clone(), owned.spot, owned.type_name.clone());
+        let mut twice = None;
+        let mut gpus = 0.0;
+        let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let at = self.cloud.get(&worker.id).map_or("?".into(), |o| o.zone.to_string());
+            for ((other, same), running) in &worker.tasks {
+                if !running.on_machine() {
+                    continue;
+                }
+                if other == task && (worker.id != *id || *same != attempt) {
+                    twice = Some(worker.id.clone());
+                }
+                if other.job == task.job {
+                    *zones.entry(at.clone()).or_default() += 1;
+                }
+                if let Some(theirs) = self.users.spec(&other.job)
+                    && theirs.team.as_str() == "blue"
+                {
+                    gpus += theirs.gpus;
+                }
+            }
+        }
+        if let Some(other) = twice {
+            self.breaks("ran_twice", format!("{task} on {id} and {other}"));
+        }
+        if gpus > GPUS_MAX + 1e-6 {
+            self.breaks("quota", format!("blue uses {gpus} GPUs"));
+        }
+        let half = spec.tasks.div_ceil(2);
+        let misplaced = (spot && !spec.spot)
+            || spec.types.as_ref().is_some_and(|types| !types.contains(&type_name))
+            || spec.zone.as_ref().is_some_and(|only| *only != zone)
+            || (spec.one_zone && zones.len() > 1)
+            || (spec.spread && zones.get(zone.as_str()).copied().unwrap_or(0) > half);
+        if misplaced {
+            self.breaks("wrong_place", format!("{task} on {id} in {zone}, job in {zones:?}"));
+        }
+        if self.users.cancelled_for_long(&task.job, self.now) {
+            self.breaks("ran_cancelled", format!("{task} starts on {id}"));
+        }
+    }
+
+    /// Tasks of a job that are on a machine by the rules.
+    pub(super) fn tasks_on(&self, job: &JobId) -> usize {
+        let tasks = self.workers.values().flat_map(|w| &w.tasks);
+        tasks.filter(|((task, _), running)| task.job == *job && running.on_machine()).count()
+    }
+}
+
+fn exit(running: &mut Running, why: Exit) {
+    running.state = TaskState::Exited;
+    running.why = Some(why);
+    running.until = f64::INFINITY;
+}
+
+fn release(id: &MachineId) -> ochredrum::core::CloudCall {
+    let machines = vec![id.clone()];
+    ochredrum::core::CloudCall::Release(ochredrum::wire::MachineNames { machines })
+}
