Authority: a leader that consented to a successor cannot come back by a voucher

The old leader, cut from the store, consented to its successor and then counted its own word again for a voucher from a third controller.

--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -128,7 +128,10 @@
         // A restarted controller's own word counts only after one voucher time.
         match self.role {
             Role::Holding { term, .. }
-                if self.acting && now - self.renewed > self.ttl * 0.5 && now > self.voucher =>
+                if self.acting
+                    && now - self.renewed > self.ttl * 0.5
+                    && now > self.voucher
+                    && term >= self.consented_term =>
             {
                 Some(term)
             }
@@ -161,7 +164,9 @@
     }
 
     pub fn vouched(&mut self, node: &Node, sent: Time, now: Time) {
-        if self.acting {
+        // A majority needs this controller's own word, which a later term may have by now: a
+        // leader cut from the store consents to its successor and must not come back after.
+        if self.wants_voucher(now).is_some() {
             let until = sent + self.voucher * (1.0 - DRIFT) - self.margin;
             self.vouchers.insert(node.clone(), until);
             let own = now + self.voucher;
@@ -175,6 +180,9 @@
         let yes = free && now > self.voucher && term >= self.consented_term;
         if yes {
             self.consented_term = term;
+            if !matches!(self.role, Role::Holding { term: own, .. } if own >= term) {
+                self.vouchers.clear();
+            }
         }
         yes
     }
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -155,20 +155,26 @@
         self.spec.tasks - self.done.len() - self.waiting.len() as u32 - self.unsettled
     }
 
-    /// Whether the zone rules allow one more task in `zone`, given where its tasks may be.
+    /// Whether the zone rules allow one more task in `zone`, beside `more` not yet placed.
     pub fn zone_allows(&self, zone: &Zone, more: &BTreeMap<Zone, u32>) -> bool {
-        if self.spec.zone.as_ref().is_some_and(|only| only != zone) {
-            return false;
+        if more.is_empty() {
+            return zone_allows(&self.spec, zone, &self.zones);
         }
-        let count = |zone: &Zone| {
-            self.zones.get(zone).copied().unwrap_or(0) + more.get(zone).copied().unwrap_or(0)
-        };
-        if self.spec.one_zone {
-            let mut others = self.zones.keys().chain(more.keys()).filter(|other| *other != zone);
-            if others.any(|other| count(other) > 0) {
-                return false;
-            }
+        let mut zones = self.zones.clone();
+        for (zone, count) in more {
+            *zones.entry(zone.clone()).or_default() += count;
         }
-        !self.spec.spread || count(zone) < self.spec.tasks.div_ceil(2)
+        zone_allows(&self.spec, zone, &zones)
+    }
+}
+
+/// Whether the zone rules allow one more task in `zone`, given where the others may be.
+pub fn zone_allows(spec: &JobSpec, zone: &Zone, zones: &BTreeMap<Zone, u32>) -> bool {
+    if spec.zone.as_ref().is_some_and(|only| only != zone) {
+        return false;
+    }
+    if spec.one_zone && zones.iter().any(|(other, count)| other != zone && *count > 0) {
+        return false;
     }
+    !spec.spread || zones.get(zone).copied().unwrap_or(0) < spec.tasks.div_ceil(2)
 }
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -159,6 +159,10 @@
         let settled = self.settled || new;
         let age = wall_ms.saturating_sub(record.accepted_ms) as f64 / 1e3;
         let mut job = Job::new(spec.clone(), record.clone(), version, now - age, settled);
+        if job.is_gang() && !job.done.is_empty() {
+            (0..job.spec.tasks).for_each(|index| job.set(index, Task::Done, None));
+            job.dirty = Some(now);
+        }
         // Attempts of it may be on machines that reported before it was known.
         for machine in self.machines.values_mut() {
             for ((task, attempt), held) in &mut machine.on {
@@ -644,6 +648,9 @@
             // Its exit may be forgotten only once it is recorded.
             job.set(task.index, Task::Done, zone);
             job.dirty.get_or_insert(now);
+            if job.is_gang() {
+                self.gang_done(&task.job);
+            }
             return;
         }
         held.forget = true;
@@ -672,6 +679,21 @@
         self.gang_lost_one(&task.job, attempt);
     }
 
+    /// A gang's tasks complete together: if one is done, they all are. The others' machines may
+    /// be lost before they can say so.
+    fn gang_done(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        for index in 0..job.spec.tasks {
+            let zone = match job.task(index) {
+                Some(Task::Placed(machine, _)) => {
+                    self.machines.get(machine).map(|m| m.zone.clone())
+                }
+                _ => None,
+            };
+            job.set(index, Task::Done, zone.as_ref());
+        }
+    }
+
     /// A machine that failed several jobs which failed nowhere else is set aside.
     fn judge_machine(&mut self, id: &MachineId, now: Time) {
         let jobs = &self.jobs;
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -5,6 +5,7 @@
 
 use super::desk::least_need;
 use super::io::Io;
+use super::jobs::zone_allows;
 use super::lead::Lead;
 use super::placement::Room;
 use super::quota::within;
@@ -151,6 +152,15 @@
     }
 }
 
+/// Tasks that a plan has to find room for.
+struct Wanted {
+    spec: Rc<JobSpec>,
+    count: u32,
+    /// Where the job's other tasks are: a plan that put these where the rules will not have them
+    /// would never rent what they need.
+    zones: BTreeMap<Zone, u32>,
+}
+
 /// Somewhere a task could go in a plan.
 struct Bin {
     machine: Option<MachineId>,
@@ -371,13 +381,11 @@
         for bin in &bins {
             *in_zone.entry(bin.offer.1.clone()).or_default() += 1;
         }
-        for (spec, count, spread) in demand {
+        for Wanted { spec, count, zones } in demand {
             let need = Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb };
-            let mut per_zone: BTreeMap<Zone, u32> = BTreeMap::new();
+            let mut per_zone = zones;
             for _ in 0..count {
-                let open = |zone: &Zone| {
-                    spread.is_none_or(|most| per_zone.get(zone).copied().unwrap_or(0) < most)
-                };
+                let open = |zone: &Zone| zone_allows(&spec, zone, &per_zone);
                 let fits = |bin: &Bin| {
                     bin.free.holds(&need)
                         && allowed(&spec, &bin.offer.0, &bin.offer.1, bin.offer.2)
@@ -447,8 +455,7 @@
     }
 
     /// What waits, and what is likely to arrive before a machine rented now could serve it.
-    fn demand(&self, types: &[MachineType], now: Time) -> Vec<(Rc<JobSpec>, u32, Option<u32>)> {
-        let spread = |spec: &JobSpec| spec.spread.then(|| spec.tasks.div_ceil(2));
+    fn demand(&self, types: &[MachineType], now: Time) -> Vec<Wanted> {
         let mut demand = Vec::new();
         let mut usage = self.usage();
         for id in self.queue(now) {
@@ -461,7 +468,7 @@
                 usage.add(&limits.name, job.spec.cpus, job.spec.gpus);
                 count += 1;
             }
-            demand.push((job.spec.clone(), count, spread(&job.spec)));
+            demand.push(Wanted { spec: job.spec.clone(), count, zones: job.zones.clone() });
         }
         let boot = types.iter().map(|t| t.boot_s).fold(1.0, f64::max);
         let window = boot * HISTORY_BOOTS;
@@ -475,7 +482,8 @@
             // Newest first: as many of them as arrive within a boot.
             let expected = (recent.len() as f64 / HISTORY_BOOTS).ceil() as usize;
             for spec in recent.iter().take(expected) {
-                demand.push(((*spec).clone(), spec.tasks, spread(spec)));
+                let (count, zones) = (spec.tasks, BTreeMap::new());
+                demand.push(Wanted { spec: (*spec).clone(), count, zones });
             }
         }
         demand
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -356,6 +356,9 @@
                 TaskState::Running => {
                     exit(running, Exit::Done);
                     self.users.finished(&task);
+                    if spec.kind == Kind::Gang {
+                        self.gang_completes(&task.job, attempt, spec.tasks);
+                    }
                 }
                 TaskState::Saving => {
                     running.saved = true;
@@ -379,6 +382,22 @@
         ready >= tasks
     }
 
+    /// A gang's tasks complete together.
+    fn gang_completes(&mut self, job: &JobId, attempt: Attempt, tasks: u32) {
+        for index in 0..tasks {
+            let task = TaskId { job: job.clone(), index };
+            self.users.finished(&task);
+            for worker in self.workers.values_mut() {
+                if let Some(running) = worker.tasks.get_mut(&(task.clone(), attempt))
+                    && running.state != TaskState::Exited
+                {
+                    exit(running, Exit::Done);
+                    worker.changed = true;
+                }
+            }
+        }
+    }
+
     /// Running gang tasks notice that another of their attempt is gone.
     fn gang_losses(&mut self, id: &MachineId) {
         let now = self.now;
