--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -1,51 +1,48 @@
-//! Who leads, and until when. The leader's key in the state service hangs on a lease; authority
-//! ends by the leader's own clock, counted from when the last successful renewal was sent, before
-//! the lease can end in the store. The key's revision is the leader's term.
+//! Until when this process may act for its share. Its key in the state service hangs on a lease;
+//! authority ends by the process's own clock, counted from when the last successful renewal was
+//! sent, before the lease can end in the store. The leader's key hangs on the same lease; leading
+//! only entitles to write the map, and such writes are guarded by the key itself.
 //!
-//! In an outage of the state service a majority of controllers may vouch for the leader, each for
-//! a short time and only while it cannot read the store itself. A candidate therefore needs, beside
-//! the key, to know that no voucher is out: the last leader's process has ended, or a majority
-//! consents, each of which has no unexpired voucher out and never again vouches for a lower term.
+//! In an outage of the state service a majority of controllers may vouch for a process, each for a
+//! short time and only while it cannot read the store itself. To hand a lapsed process's share to
+//! others the leader therefore needs, beside the lapse in the store, to know that no voucher is
+//! out: the process has ended, or a majority consents, each of which has no unexpired voucher out
+//! for it and never again vouches for it.
 
-use super::io::{Io, Pending};
-use super::lead::Lead;
+use super::io::Pending;
 use super::peers::Peers;
-use super::view::{LEADER_KEY, LeaderRecord, View, guard, put};
+use super::view::{LEADER_KEY, ProcessRecord, View, guard, node_key, put};
 use super::{Core, StateCall, StateReply, Time};
 use crate::config::Config;
-use crate::ids::{Node, Term};
+use crate::ids::{Node, Version};
 use crate::wire::Transaction;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Clocks run fast or slow by 0.05%; two of them differ by at most twice that, doubled again.
 pub const DRIFT: f64 = 0.002;
 
+/// A process that some controller runs or ran.
+pub type Process = (Node, u64);
+
 #[derive(Debug)]
 pub enum AuthorityCall {
     Create { sent: Time },
+    Register { lease: u64 },
     Claim { lease: u64 },
     Renew { lease: u64, sent: Time },
     End,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Role {
-    Follower,
-    /// A lease has been asked for.
+enum Lease {
+    None,
     Creating,
-    /// Holds a lease and has asked for the key; the outcome is read from the view.
-    Claiming {
-        lease: u64,
-    },
-    /// Holds the key.
-    Holding {
-        lease: u64,
-        term: Term,
-    },
+    Held(u64),
 }
 
 pub struct Authority {
     node: Node,
+    /// Changes whenever the process has to begin anew, as after a restart.
     incarnation: u64,
     majority: usize,
     controllers: usize,
@@ -55,21 +52,22 @@
     voucher: Time,
     /// How long authority may outlast the store's, if siblings may have accepted cancellations.
     outlast: Time,
-    role: Role,
-    /// When the key was first seen to be held.
-    held_since: Time,
-    /// Whether the term has been taken up: state read, consent had.
-    acting: bool,
+    lease: Lease,
     renewed: Time,
-    vouchers: BTreeMap<Node, Time>,
-    consents: BTreeSet<Node>,
     next_renewal: Time,
     renewing: bool,
+    /// Not to ask for a lease before this.
     next_attempt: Time,
-    /// The voucher this controller gave last.
-    promised: Option<(Node, Time)>,
-    /// Terms below this get no voucher from here.
-    consented_term: Term,
+    writing: bool,
+    next_write: Time,
+    vouchers: BTreeMap<Node, Time>,
+    /// Until when this controller's vouchers for others run.
+    promised: BTreeMap<Node, Time>,
+    /// Processes whose share may be handed on: no voucher for them from here.
+    revoked: BTreeSet<Process>,
+    /// Lapsed processes the leader wants to replace, and who has consented.
+    consents: BTreeMap<Process, BTreeSet<Node>>,
+    asked_since: BTreeMap<Process, Time>,
     ended_predecessor: Option<u64>,
 }
 
@@ -87,24 +85,38 @@
             margin: ttl * 0.1,
             voucher: workers.lease_s * 0.2,
             outlast: workers.cancel_s * 0.5,
-            role: Role::Follower,
-            held_since: 0.0,
-            acting: false,
+            lease: Lease::None,
             renewed: Time::NEG_INFINITY,
-            vouchers: BTreeMap::new(),
-            consents: BTreeSet::new(),
             next_renewal: 0.0,
             renewing: false,
             next_attempt: 0.0,
-            promised: None,
-            consented_term: Term(0),
+            writing: false,
+            next_write: 0.0,
+            vouchers: BTreeMap::new(),
+            promised: BTreeMap::new(),
+            revoked: BTreeSet::new(),
+            consents: BTreeMap::new(),
+            asked_since: BTreeMap::new(),
             ended_predecessor: None,
         }
     }
 
-    /// Whether this controller may command machines now.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    pub fn ttl(&self) -> Time {
+        self.ttl
+    }
+
+    fn myself(&self) -> Process {
+        (self.node.clone(), self.incarnation)
+    }
+
+    /// Whether this process may command the machines that the map gives it.
     pub fn entitled(&self, now: Time) -> bool {
-        self.acting && (now < self.store_until() || now < self.vouched_until())
+        matches!(self.lease, Lease::Held(_))
+            && (now < self.store_until() || now < self.vouched_until())
     }
 
     fn store_until(&self) -> Time {
@@ -113,6 +125,9 @@
 
     /// Until when a majority's vouchers run, this controller's own word included.
     fn vouched_until(&self) -> Time {
+        if self.revoked.contains(&self.myself()) {
+            return Time::NEG_INFINITY;
+        }
         let mut ends: Vec<Time> = self.vouchers.values().copied().collect();
         ends.sort_by(|a, b| b.total_cmp(a));
         let all = self.controllers.saturating_sub(2);
@@ -124,105 +139,104 @@
         ends.get(all).copied().unwrap_or(Time::NEG_INFINITY).max(capped)
     }
 
-    pub fn wants_voucher(&self, now: Time) -> Option<Term> {
-        // A restarted controller's own word counts only after one voucher time.
-        match self.role {
-            Role::Holding { term, .. }
-                if self.acting
-                    && now - self.renewed > self.ttl * 0.5
-                    && now > self.voucher
-                    && term >= self.consented_term =>
-            {
-                Some(term)
-            }
-            _ => None,
-        }
+    /// The leader's term, if this process holds the leader's key as far as it knows.
+    pub fn leads(&self, view: &View) -> Option<Version> {
+        let leader = view.leader()?;
+        let mine = leader.record.node == self.node && leader.record.incarnation == self.incarnation;
+        (mine && matches!(self.lease, Lease::Held(_))).then_some(leader.version)
     }
 
-    pub fn wants_consent(&self) -> Option<Term> {
-        match self.role {
-            Role::Holding { term, .. } if !self.acting => Some(term),
-            _ => None,
-        }
+    pub fn wants_voucher(&self, now: Time) -> Option<u64> {
+        // A restarted controller's own word counts only after one voucher time; and a majority
+        // needs that word, which the leader may have by now for the hand-over of this share.
+        let wants = matches!(self.lease, Lease::Held(_))
+            && now - self.renewed > self.ttl * 0.5
+            && now > self.voucher
+            && !self.revoked.contains(&self.myself());
+        wants.then_some(self.incarnation)
     }
 
-    /// Asked to vouch for `node`; a yes binds this controller for one voucher time.
-    pub fn vouch(&mut self, node: &Node, term: Term, view: &View, now: Time) -> bool {
-        let led_by = view.leader().is_some_and(|l| l.record.node == *node && l.version == term.0);
-        let free = self.promised.as_ref().is_none_or(|(to, until)| to == node || *until < now);
+    /// Asked to vouch for a process; a yes binds this controller for one voucher time.
+    pub fn vouch(&mut self, node: &Node, incarnation: u64, view: &View, now: Time) -> bool {
+        let known = view.node(node).is_some_and(|n| n.record.incarnation == incarnation);
         let blind = view.state_silence(now) > self.ttl * 0.3;
-        let yes = led_by
-            && free
-            && blind
-            && now > self.voucher
-            && term >= self.consented_term
-            && matches!(self.role, Role::Follower | Role::Creating);
+        let revoked = self.revoked.contains(&(node.clone(), incarnation));
+        let yes = known && blind && !revoked && now > self.voucher;
         if yes {
-            self.promised = Some((node.clone(), now + self.voucher * (1.0 + DRIFT)));
+            self.promised.insert(node.clone(), now + self.voucher * (1.0 + DRIFT));
         }
         yes
     }
 
     pub fn vouched(&mut self, node: &Node, sent: Time, now: Time) {
-        // A majority needs this controller's own word, which a later term may have by now: a
-        // leader cut from the store consents to its successor and must not come back after.
         if self.wants_voucher(now).is_some() {
             let until = sent + self.voucher * (1.0 - DRIFT) - self.margin;
             self.vouchers.insert(node.clone(), until);
-            let own = now + self.voucher;
-            self.promised = Some((self.node.clone(), own));
         }
     }
 
-    /// Asked whether `node` may act under `term`: not while a voucher from here is out.
-    pub fn consent(&mut self, node: &Node, term: Term, now: Time) -> bool {
-        let free = self.promised.as_ref().is_none_or(|(to, until)| to == node || *until < now);
-        let yes = free && now > self.voucher && term >= self.consented_term;
+    /// Asked whether a lapsed process may be replaced: not while a voucher from here is out.
+    pub fn consent(&mut self, process: &Process, now: Time) -> bool {
+        let own = *process == self.myself();
+        let free = match own {
+            // Its own word stands behind its authority for as long as that lasts.
+            true => !self.entitled(now),
+            false => self.promised.get(&process.0).is_none_or(|until| *until < now),
+        };
+        let yes = free && now > self.voucher;
         if yes {
-            self.consented_term = term;
-            if !matches!(self.role, Role::Holding { term: own, .. } if own >= term) {
-                self.vouchers.clear();
-            }
+            self.revoked.insert(process.clone());
         }
         yes
     }
 
-    pub fn consented(&mut self, node: Node) {
-        if self.wants_consent().is_some() {
-            self.consents.insert(node);
+    pub fn wanted_consents(&self) -> Vec<Process> {
+        self.consents.keys().cloned().collect()
+    }
+
+    pub fn consented(&mut self, from: &Node, processes: &[Process]) {
+        for process in processes {
+            if let Some(consents) = self.consents.get_mut(process) {
+                consents.insert(from.clone());
+            }
         }
     }
 
-    /// Whether no authority of an earlier leader can be left.
-    fn unopposed(&mut self, view: &View, peers: &Peers, term: Term, now: Time) -> bool {
-        let Some(previous) = view.acting() else { return true };
-        let previous = &previous.record;
-        if previous.node == self.node {
-            return true;
+    /// For the leader: whether nothing is left of a process's authority. Asks for consents as
+    /// long as that is open.
+    pub fn lapsed(&mut self, process: &Process, view: &View, peers: &Peers, now: Time) -> bool {
+        if process.0 == self.node {
+            // An earlier process of this very controller, or this one before it began anew.
+            return process.1 != self.incarnation;
+        }
+        if let Some(registered) = view.node(&process.0) {
+            // Its successor has registered, so it has ended.
+            return registered.record.incarnation != process.1;
         }
-        let restarted = |seen: u64| seen != previous.incarnation;
-        if peers.incarnation_of(&previous.node, self.held_since).is_some_and(restarted) {
+        let since = *self.asked_since.entry(process.clone()).or_insert(now);
+        let heard = peers.incarnation_of(&process.0, since);
+        if heard.is_some_and(|incarnation| incarnation != process.1) {
             return true;
         }
-        let node = self.node.clone();
-        let own = usize::from(self.consent(&node, term, now));
-        self.consents.len() + own >= self.majority
+        let own = usize::from(self.consent(process, now));
+        let consents = self.consents.entry(process.clone()).or_default();
+        consents.len() + own >= self.majority
     }
 
-    /// Gives leadership back, and lets others try first.
-    fn resign(&mut self, io: &mut Io, pause: Time) {
-        if let Role::Claiming { lease } | Role::Holding { lease, .. } = self.role {
-            io.state(Pending::Authority(AuthorityCall::End), StateCall::LeaseEnd { lease });
-        }
-        self.lost(io.now + pause);
+    /// The map names only these processes: questions about others are closed.
+    pub fn close_questions(&mut self, open: &BTreeSet<Process>) {
+        self.consents.retain(|process, _| open.contains(process));
+        self.asked_since.retain(|process, _| open.contains(process));
     }
 
     fn lost(&mut self, next_attempt: Time) {
-        self.role = Role::Follower;
-        self.acting = false;
+        self.lease = Lease::None;
+        self.incarnation += 1;
         self.renewing = false;
+        self.writing = false;
         self.vouchers.clear();
         self.consents.clear();
+        self.asked_since.clear();
         self.next_attempt = next_attempt;
     }
 }
@@ -230,166 +244,134 @@
 impl Core {
     pub(super) fn authority_reply(&mut self, call: AuthorityCall, reply: StateReply) {
         let now = self.io.now;
-        let authority = &mut self.authority;
-        match (call, reply) {
-            (AuthorityCall::Create { sent }, StateReply::Lease(lease)) => {
-                if authority.role != Role::Creating {
+        match call {
+            AuthorityCall::Create { sent } => {
+                if self.authority.lease != Lease::Creating {
                     return;
                 }
-                authority.renewed = sent;
-                authority.role = Role::Claiming { lease };
-                authority.next_attempt = now + authority.ttl;
-                let node = authority.node.clone();
-                let incarnation = authority.incarnation;
-                let record = LeaderRecord { node, incarnation, lease, term: Term(0) };
-                let claim = Transaction {
-                    guards: vec![guard(LEADER_KEY, 0)],
-                    writes: vec![put(LEADER_KEY, &record, Some(lease))],
-                };
-                let pending = Pending::Authority(AuthorityCall::Claim { lease });
-                self.io.state(pending, StateCall::Commit(claim));
-            }
-            (AuthorityCall::Create { .. }, _) => {
-                authority.lost(now + self.io.jitter(authority.ttl * 0.1));
+                if let StateReply::Lease(lease) = reply {
+                    self.authority.lease = Lease::Held(lease);
+                    self.authority.renewed = sent;
+                    self.authority.next_renewal = sent + self.authority.ttl / 3.0;
+                } else {
+                    self.authority.lease = Lease::None;
+                    self.authority.next_attempt = now + self.io.jitter(self.authority.ttl * 0.1);
+                }
             }
-            (AuthorityCall::Claim { lease }, reply) => match reply {
-                // Committed, or perhaps: the view tells, once it is that far.
-                StateReply::Committed(_) | StateReply::Unknown => self.view.want_sync(),
-                _ if authority.role == (Role::Claiming { lease }) => {
-                    let pause = self.io.jitter(authority.ttl * 0.1);
-                    authority.resign(&mut self.io, pause);
-                    self.view.want_sync();
+            AuthorityCall::Register { lease } | AuthorityCall::Claim { lease } => {
+                if self.authority.lease != Lease::Held(lease) {
+                    return;
+                }
+                // Written, or perhaps, or not: the view tells, once it is that far.
+                self.authority.writing = false;
+                self.authority.next_write = now + self.io.jitter(self.authority.ttl * 0.1);
+                self.view.want_sync();
+                if reply == StateReply::LeaseGone {
+                    self.begin_anew("the lease has ended", 0.0);
                 }
-                _ => {}
-            },
-            (AuthorityCall::Renew { lease, sent }, reply) => {
-                if !matches!(authority.role, Role::Holding { lease: held, .. } if held == lease) {
+            }
+            AuthorityCall::Renew { lease, sent } => {
+                if self.authority.lease != Lease::Held(lease) {
                     return;
                 }
-                authority.renewing = false;
+                self.authority.renewing = false;
                 match reply {
                     StateReply::Done => {
-                        authority.renewed = authority.renewed.max(sent);
-                        authority.next_renewal = now + authority.ttl / 3.0;
-                        // Another's voucher is moot while the store answers.
-                        authority.vouchers.clear();
+                        self.authority.renewed = self.authority.renewed.max(sent);
+                        self.authority.next_renewal = now + self.authority.ttl / 3.0;
+                        self.authority.vouchers.clear();
                     }
-                    StateReply::LeaseGone => {
-                        tracing::info!("leadership lost: the lease has ended");
-                        authority.lost(now);
-                        self.lead = None;
+                    StateReply::LeaseGone => self.begin_anew("the lease has ended", 0.0),
+                    _ => {
+                        self.authority.next_renewal =
+                            now + self.io.jitter(self.authority.ttl / 12.0);
                     }
-                    _ => authority.next_renewal = now + self.io.jitter(authority.ttl / 12.0),
-                }
-            }
-            (AuthorityCall::End, _) => {}
-        }
-    }
-
-    pub(super) fn lead_or_follow(&mut self) {
-        let now = self.io.now;
-        let leader = self.view.leader().map(|l| (l.record.clone(), Term(l.version)));
-        match self.authority.role {
-            Role::Follower => self.stand_when_vacant(leader),
-            Role::Creating => {}
-            Role::Claiming { lease } => match leader {
-                Some((record, term)) if self.is_mine(&record) && record.lease == lease => {
-                    self.authority.role = Role::Holding { lease, term };
-                    self.authority.held_since = now;
-                    self.authority.consents.clear();
-                    self.authority.next_renewal = self.authority.renewed + self.authority.ttl / 3.0;
-                }
-                Some(_) => self.authority.resign(&mut self.io, 0.0),
-                None if now > self.authority.next_attempt => {
-                    self.authority.resign(&mut self.io, 0.0);
-                }
-                None => {}
-            },
-            Role::Holding { lease, term } => {
-                if leader.as_ref().is_none_or(|(_, current)| *current != term) {
-                    tracing::info!("leadership lost: the leader's key is not ours any more");
-                    self.authority.resign(&mut self.io, 0.0);
-                    self.lead = None;
-                    return;
-                }
-                self.renew_when_due(lease);
-                if !self.authority.acting {
-                    self.take_up(term);
-                } else if self.cut_from_workers() {
-                    tracing::info!("leadership given up: workers reach siblings only");
-                    let pause = self.config.deployment.workers.lease_s * 2.0;
-                    self.authority.resign(&mut self.io, pause);
-                    self.lead = None;
                 }
             }
+            AuthorityCall::End => {}
         }
     }
 
-    fn is_mine(&self, record: &LeaderRecord) -> bool {
-        record.node == self.authority.node && record.incarnation == self.authority.incarnation
+    /// Drops everything this process owned, as a restart would.
+    fn begin_anew(&mut self, why: &str, pause: Time) {
+        tracing::info!("share lost: {why}");
+        self.authority.lost(self.io.now + pause);
+        self.owner = None;
+        self.leader = None;
     }
 
-    fn stand_when_vacant(&mut self, leader: Option<(LeaderRecord, Term)>) {
+    /// Keeps the lease, the process's key and, if nobody leads, the leader's key.
+    pub(super) fn keep_authority(&mut self) {
         let now = self.io.now;
-        if !self.view.complete() || now < self.authority.next_attempt {
+        if !self.view.complete() {
             return;
         }
-        if let Some((record, _)) = leader {
-            // This node's earlier process has ended for certain: end its leadership at once. So
-            // must go a key of ours that a late transaction brought.
-            if record.node == self.authority.node
-                && self.authority.ended_predecessor != Some(record.lease)
-            {
-                self.authority.ended_predecessor = Some(record.lease);
-                let call = StateCall::LeaseEnd { lease: record.lease };
-                self.io.state(Pending::Authority(AuthorityCall::End), call);
-                self.view.want_sync();
+        match self.authority.lease {
+            Lease::None if now >= self.authority.next_attempt => {
+                self.end_predecessor();
+                self.authority.lease = Lease::Creating;
+                let ttl_ms = (self.authority.ttl * 1000.0) as u64;
+                let pending = Pending::Authority(AuthorityCall::Create { sent: now });
+                self.io.state(pending, StateCall::LeaseCreate { ttl_ms });
+            }
+            Lease::None | Lease::Creating => {}
+            Lease::Held(lease) => {
+                if !self.authority.renewing && now >= self.authority.next_renewal {
+                    self.authority.renewing = true;
+                    let pending = Pending::Authority(AuthorityCall::Renew { lease, sent: now });
+                    self.io.state(pending, StateCall::LeaseRenew { lease });
+                }
+                self.write_keys(lease);
+                if self.owner.is_some() && self.cut_from_workers() {
+                    let pending = Pending::Authority(AuthorityCall::End);
+                    self.io.state(pending, StateCall::LeaseEnd { lease });
+                    let pause = self.config.deployment.workers.lease_s * 2.0;
+                    self.begin_anew("workers reach siblings only", pause);
+                }
             }
-            return;
         }
-        // The view may be old; the claim is guarded, so that costs one request.
-        self.authority.role = Role::Creating;
-        let ttl_ms = (self.authority.ttl * 1000.0) as u64;
-        let pending = Pending::Authority(AuthorityCall::Create { sent: now });
-        self.io.state(pending, StateCall::LeaseCreate { ttl_ms });
     }
 
-    fn renew_when_due(&mut self, lease: u64) {
-        let now = self.io.now;
-        if !self.authority.renewing && now >= self.authority.next_renewal {
-            self.authority.renewing = true;
-            let pending = Pending::Authority(AuthorityCall::Renew { lease, sent: now });
-            self.io.state(pending, StateCall::LeaseRenew { lease });
+    /// An earlier process of this controller has ended for certain: what hangs on its lease need
+    /// not wait for the lease to end.
+    fn end_predecessor(&mut self) {
+        let keys = [self.view.node(&self.config.node), self.view.leader()];
+        let mine = keys.into_iter().flatten().map(|key| &key.record);
+        let earlier = mine.filter(|record| record.node == self.config.node).map(|r| r.lease);
+        for lease in earlier.collect::<BTreeSet<u64>>() {
+            if self.authority.ended_predecessor.replace(lease) != Some(lease) {
+                let pending = Pending::Authority(AuthorityCall::End);
+                self.io.state(pending, StateCall::LeaseEnd { lease });
+            }
         }
     }
 
-    /// Begins to act once the view is newer than the claim and no earlier authority is left.
-    fn take_up(&mut self, term: Term) {
+    fn write_keys(&mut self, lease: u64) {
         let now = self.io.now;
-        if self.view.revision() < term.0
-            || now >= self.authority.store_until()
-            || !self.authority.unopposed(&self.view, &self.peers, term, now)
-        {
+        if self.authority.writing || now < self.authority.next_write {
             return;
         }
-        if self.lead.as_ref().is_none_or(|lead| lead.term != term) {
-            tracing::info!("leading under term {}", term.0);
-            let clock = (now, self.io.wall_ms);
-            self.lead = Some(Lead::new(&self.config, term, clock, &mut self.view));
-            self.peers.heard_workers(now);
-        }
-        let record = LeaderRecord {
+        let record = ProcessRecord {
             node: self.authority.node.clone(),
             incarnation: self.authority.incarnation,
-            lease: 0,
-            term,
+            lease,
         };
-        let acting = self.view.acting().is_some_and(|a| a.record == record);
-        if acting {
-            self.authority.acting = true;
-        } else if let Some(lead) = self.lead.as_mut() {
-            lead.record_acting(&mut self.io, &self.view, &record);
-        }
+        let known = self.view.node(&record.node);
+        let (key, version, call) = if known.is_none_or(|known| known.record != record) {
+            // Guarded, so that a late write of an earlier process cannot replace it.
+            let version = known.map_or(0, |known| known.version);
+            (node_key(&record.node), version, AuthorityCall::Register { lease })
+        } else if self.view.leader().is_none() && self.authority.entitled(now) {
+            (LEADER_KEY.to_owned(), 0, AuthorityCall::Claim { lease })
+        } else {
+            return;
+        };
+        self.authority.writing = true;
+        let transaction = Transaction {
+            guards: vec![guard(&key, version)],
+            writes: vec![put(&key, &record, Some(lease))],
+        };
+        self.io.state(Pending::Authority(call), StateCall::Commit(transaction));
     }
 
     fn cut_from_workers(&self) -> bool {
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -6,7 +6,7 @@
 use super::peers::{MeshMessage, MeshReply};
 use super::view::{JobRecord, guard, job_key, put};
 use super::{Answer, Body, Core, RequestId, StateCall, StateReply, Time, UserRequest};
-use crate::ids::{JobId, Version};
+use crate::ids::{JobId, Team, Version};
 use crate::wire::{JobSpec, Kind, Stance, Transaction, Write, stance_answer, state_answer};
 use std::rc::Rc;
 
@@ -72,7 +72,7 @@
         if let UserRequest::Submit(id, spec) = &asked.what
             && self.view.job(id).is_none()
         {
-            let Some(refusal) = self.supply.refusal(&self.config, spec) else {
+            let Some(refusal) = self.catalog.refusal(&self.config, spec) else {
                 return self.give_up(asked);
             };
             if refusal {
@@ -110,7 +110,10 @@
         let DeskCall { mut asked, write } = call;
         match reply {
             StateReply::Committed(version) => {
+                let before = self.view.job(asked.what.job());
+                let team = before.and_then(|job| job.record.spec.as_ref()).map(|s| s.team.clone());
                 self.view.apply_write(&write, version);
+                self.view.want_sync();
                 match &asked.what {
                     UserRequest::Submit(id, _) => {
                         let answer = Answer::value(201, stance_answer(id, Stance::Pending));
@@ -118,7 +121,7 @@
                     }
                     UserRequest::Cancel(id) => {
                         let id = id.clone();
-                        self.tell_siblings(&id);
+                        self.tell_owner(&id, team.as_ref());
                         let answer = Answer::value(200, stance_answer(&id, Stance::Cancelled));
                         self.reply(asked.reply_to, answer);
                     }
@@ -140,11 +143,7 @@
 
     /// Answers if the view is current enough, else waits for it.
     fn settle(&mut self, mut asked: Asked) {
-        let id = match &asked.what {
-            UserRequest::Submit(id, _) | UserRequest::Poll(id) | UserRequest::Cancel(id) => {
-                id.clone()
-            }
-        };
+        let id = asked.what.job().clone();
         let known = self.view.job(&id).cloned();
         let ended = known.as_ref().is_some_and(|job| job.record.is_final());
         if !ended && self.view.current_as_of < asked.needs {
@@ -189,7 +188,7 @@
             Stance::Done => (Stance::Done, record.tasks, 0),
             Stance::Cancelled => (Stance::Cancelled, 0, 0),
             _ => {
-                let counts = self.lead.as_ref().and_then(|lead| lead.counts(id));
+                let counts = self.owner.as_ref().and_then(|owner| owner.counts(id));
                 let (done, running) =
                     counts.or_else(|| self.peers.running(id)).unwrap_or((record.done.len(), 0));
                 let stance = if running > 0 { Stance::Running } else { Stance::Pending };
@@ -198,10 +197,11 @@
         }
     }
 
-    /// The leader learns of a cancellation by its next sync anyway; this is only sooner.
-    fn tell_siblings(&mut self, id: &JobId) {
-        let leader = self.view.leader().map(|l| l.record.node.clone());
-        if let Some(node) = leader.filter(|node| *node != self.config.node) {
+    /// The team's owner learns of a cancellation by its next sync anyway; this is only sooner.
+    fn tell_owner(&mut self, id: &JobId, team: Option<&Team>) {
+        let owner = team.and_then(|team| self.view.owners().teams.get(team));
+        let node = owner.map(|owner| owner.node.clone());
+        if let Some(node) = node.filter(|node| *node != self.config.node) {
             self.io.mesh(Pending::Notice, &node, MeshMessage::Cancelled(id.clone()));
         }
     }
--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -2,11 +2,12 @@
 
 use super::authority::AuthorityCall;
 use super::desk::DeskCall;
-use super::lead::LeadCall;
+use super::leader::MapWrite;
+use super::owner::JobWrite;
 use super::peers::{MeshMessage, MeshReply};
-use super::supply::SupplyCall;
+use super::rebalance::CloudWork;
 use super::{Answer, CallId, CloudCall, Effect, RequestId, StateCall, Time};
-use crate::ids::{Attempt, MachineId, Node, TaskId, Term};
+use crate::ids::{Attempt, MachineId, Node, TaskId};
 use crate::wire::DirectOrders;
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -18,12 +19,13 @@
     Sync { sent: Time },
     Desk(DeskCall),
     Authority(AuthorityCall),
-    Lead(Term, LeadCall),
+    Job(JobWrite),
+    Map(MapWrite),
     Orders { machine: MachineId, sent: Vec<(TaskId, Attempt)> },
     Hello { node: Node, sent: Time },
     Relay { request: RequestId },
     Notice,
-    Cloud(SupplyCall),
+    Cloud(Option<CloudWork>),
 }
 
 pub struct Io {
@@ -74,7 +76,8 @@
         self.effects.push(Effect::State(call, what));
     }
 
-    pub fn cloud(&mut self, pending: SupplyCall, what: CloudCall) {
+    /// `pending`: the leader's business; None for the machine types.
+    pub fn cloud(&mut self, pending: Option<CloudWork>, what: CloudCall) {
         let call = self.call(Pending::Cloud(pending));
         self.effects.push(Effect::Cloud(call, what));
     }
--- /dev/null
+++ b/src/core/leader.rs
@@ -0,0 +1,289 @@
+//! The leader's map: it gives teams and machines to living processes, hands the shares of lapsed
+//! ones on, and numbers every change with a fresh term. What moves between the shares of the
+//! living, and what is rented and returned, is decided in [`super::rebalance`].
+
+use super::authority::{Authority, Process};
+use super::io::{Io, Pending};
+use super::part_map::{Owner, PartMap};
+use super::peers::Peers;
+use super::rebalance::CloudDesk;
+use super::supply::{Catalog, Need, Offer};
+use super::view::{LEADER_KEY, View, guard, node_key, put};
+use super::{StateCall, StateReply, Time};
+use crate::config::Config;
+use crate::ids::{MachineId, Node, Team, Version};
+use crate::wire::{Report, Transaction, Write};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+#[derive(Debug)]
+pub struct MapWrite {
+    term: Version,
+    writes: Vec<Write>,
+}
+
+pub struct Leader {
+    pub(super) config: Rc<Config>,
+    pub(super) term: Version,
+    started: Time,
+    pub(super) map: PartMap,
+    writing: bool,
+    next_write: Time,
+    /// The map as stored may differ from ours: a write failed or its outcome is unknown.
+    reread: bool,
+    pub(super) needs: BTreeMap<Node, Need>,
+    /// Machines that reported and are not on the map.
+    newcomers: BTreeMap<MachineId, Offer>,
+    pub(super) next_round: Time,
+    pub(super) desk: CloudDesk,
+}
+
+impl Leader {
+    pub fn new(config: &Rc<Config>, term: Version, view: &View, now: Time) -> Self {
+        let map = PartMap::new(term, view.map(), config.deployment.state.value_kb);
+        let fresh = map.owners.teams.is_empty();
+        Self {
+            config: config.clone(),
+            term,
+            started: now,
+            map,
+            writing: false,
+            next_write: now,
+            reread: false,
+            needs: BTreeMap::new(),
+            newcomers: BTreeMap::new(),
+            next_round: now,
+            desk: CloudDesk::new(config, now, fresh),
+        }
+    }
+
+    pub fn refused(&self) -> BTreeSet<Offer> {
+        self.desk.refused()
+    }
+
+    pub fn needs(&mut self, node: &Node, need: Need) {
+        self.needs.insert(node.clone(), need);
+    }
+
+    /// A machine reported that is not on the map: it gets an owner.
+    pub fn newcomer(&mut self, report: &Report) {
+        if !self.map.owners.machines.contains_key(&report.machine) {
+            let offer = (report.type_name.clone(), report.zone.clone(), report.spot);
+            self.newcomers.insert(report.machine.clone(), offer);
+        }
+    }
+
+    pub fn advance(
+        &mut self,
+        io: &mut Io,
+        view: &View,
+        authority: &mut Authority,
+        peers: &Peers,
+        catalog: &Catalog,
+    ) {
+        let now = io.now;
+        let living: BTreeMap<Node, u64> =
+            view.nodes().iter().map(|(node, n)| (node.clone(), n.record.incarnation)).collect();
+        self.needs.retain(|node, _| living.contains_key(node));
+        if !self.writing && now >= self.next_write && !living.is_empty() {
+            if std::mem::take(&mut self.reread) {
+                let map =
+                    PartMap::new(self.term, view.map(), self.config.deployment.state.value_kb);
+                self.map.follow(map);
+            }
+            // A fresh deployment waits for its controllers, so that shares start equal.
+            let all_here = living.len() >= self.config.controllers();
+            if all_here || !self.map.owners.teams.is_empty() || now > self.started + authority.ttl()
+            {
+                let mut guards = Vec::new();
+                self.hand_on(view, authority, peers, &living, now, &mut guards);
+                self.take_in(&living);
+                self.renumber(&living);
+                self.rebalance(&living, now);
+                self.write(io, view, guards);
+            }
+        }
+        self.cloud_when_due(io, catalog, &living);
+    }
+
+    fn owner(&mut self, node: &Node, incarnation: u64, former: Option<Process>) -> Option<Owner> {
+        // Out of terms: leadership has to be taken anew; until then nothing more changes.
+        let term = self.map.next_term()?;
+        Some(Owner { node: node.clone(), incarnation, term, former })
+    }
+
+    pub(super) fn give_team(&mut self, team: &Team, to: &Node, incarnation: u64) {
+        if let Some(owner) = self.owner(to, incarnation, None) {
+            self.map.set_team(team, owner);
+        }
+    }
+
+    /// `former`: the process it is taken from, if that lives.
+    pub(super) fn give_machine(
+        &mut self,
+        id: &MachineId,
+        to: &Node,
+        incarnation: u64,
+        former: Option<Process>,
+    ) {
+        if let Some(owner) = self.owner(to, incarnation, former) {
+            self.map.set_machine(id, owner);
+        }
+    }
+
+    /// Shares of processes that have ended go to the restarted controller, or to an heir as a
+    /// whole, so that teams stay with the machines their tasks are on.
+    fn hand_on(
+        &mut self,
+        view: &View,
+        authority: &mut Authority,
+        peers: &Peers,
+        living: &BTreeMap<Node, u64>,
+        now: Time,
+        guards: &mut Vec<crate::wire::Guard>,
+    ) {
+        let unowned: Vec<Team> = self
+            .config
+            .deployment
+            .teams
+            .iter()
+            .map(|team| team.name.clone())
+            .filter(|team| !self.map.owners.teams.contains_key(team))
+            .collect();
+        for team in unowned {
+            if let Some((node, incarnation)) = self.fewest_teams(living) {
+                self.give_team(&team, &node, incarnation);
+            }
+        }
+        let owners = self.map.owners.teams.values().chain(self.map.owners.machines.values());
+        let processes: BTreeSet<Process> =
+            owners.map(|owner| (owner.node.clone(), owner.incarnation)).collect();
+        let ended: BTreeSet<Process> = processes
+            .into_iter()
+            .filter(|(node, incarnation)| living.get(node) != Some(incarnation))
+            .collect();
+        authority.close_questions(&ended);
+        for process in ended {
+            if !authority.lapsed(&process, view, peers, now) {
+                continue;
+            }
+            let heir = match living.get(&process.0) {
+                Some(incarnation) => Some((process.0.clone(), *incarnation)),
+                None => self.fewest_teams(living),
+            };
+            let Some((heir, incarnation)) = heir else { continue };
+            tracing::info!("the share of {} goes to {heir}", process.0);
+            // It has lapsed as of this version of its key.
+            let registered = view.node(&process.0).map_or(0, |n| n.version);
+            guards.push(guard(&node_key(&process.0), registered));
+            let of = |owner: &Owner| owner.is(&process.0, process.1);
+            let teams = self.map.owners.teams.iter().filter(|(_, owner)| of(owner));
+            let teams: Vec<Team> = teams.map(|(team, _)| team.clone()).collect();
+            let machines = self.map.owners.machines.iter().filter(|(_, owner)| of(owner));
+            let machines: Vec<MachineId> = machines.map(|(id, _)| id.clone()).collect();
+            for team in teams {
+                self.give_team(&team, &heir, incarnation);
+            }
+            for id in machines {
+                self.give_machine(&id, &heir, incarnation, None);
+            }
+        }
+    }
+
+    pub(super) fn teams_of(&self, node: &Node) -> usize {
+        self.map.owners.teams.values().filter(|owner| owner.node == *node).count()
+    }
+
+    fn fewest_teams(&self, living: &BTreeMap<Node, u64>) -> Option<Process> {
+        let node = living.keys().min_by_key(|node| self.teams_of(node))?;
+        Some((node.clone(), living[node]))
+    }
+
+    /// Newcomers go to whoever they were rented for, or where machines of their kind are fewest;
+    /// a controller without a team needs none.
+    fn take_in(&mut self, living: &BTreeMap<Node, u64>) {
+        for (id, offer) in std::mem::take(&mut self.newcomers) {
+            let meant = self.desk.arrived(&id, &offer);
+            let meant = meant.filter(|node| living.contains_key(node) && self.teams_of(node) > 0);
+            let Some(node) = meant.or_else(|| self.fewest_machines(living, &offer)) else {
+                continue;
+            };
+            self.give_machine(&id, &node, living[&node], None);
+        }
+    }
+
+    fn fewest_machines(&self, living: &BTreeMap<Node, u64>, offer: &Offer) -> Option<Node> {
+        let mut counts: BTreeMap<&Node, (usize, usize)> = BTreeMap::new();
+        for node in living.keys().filter(|node| self.teams_of(node) > 0) {
+            counts.insert(node, (0, 0));
+        }
+        for (id, owner) in &self.map.owners.machines {
+            if let Some((same, all)) = counts.get_mut(&owner.node) {
+                *same += usize::from(self.desk.offer_of(id) == Some(offer));
+                *all += 1;
+            }
+        }
+        counts.into_iter().min_by_key(|(_, count)| *count).map(|(node, _)| node.clone())
+    }
+
+    /// Fresh terms for machines that may have lost commands, and for teams short of attempts.
+    fn renumber(&mut self, living: &BTreeMap<Node, u64>) {
+        let mut needs = std::mem::take(&mut self.needs);
+        for (node, need) in &mut needs {
+            let incarnation = living.get(node).copied().unwrap_or_default();
+            for id in std::mem::take(&mut need.raise) {
+                if self.map.owners.machines.get(&id).is_some_and(|o| o.is(node, incarnation)) {
+                    self.give_machine(&id, node, incarnation, None);
+                }
+            }
+            for team in std::mem::take(&mut need.worn) {
+                if self.map.owners.teams.get(&team).is_some_and(|o| o.is(node, incarnation)) {
+                    self.give_team(&team, node, incarnation);
+                }
+            }
+        }
+        self.needs = needs;
+    }
+
+    fn write(&mut self, io: &mut Io, view: &View, mut guards: Vec<crate::wire::Guard>) {
+        let values = self.map.take_dirty(self.config.deployment.state.txn_ops);
+        if values.is_empty() {
+            return;
+        }
+        guards.push(guard(LEADER_KEY, self.term));
+        let mut writes = Vec::new();
+        for (key, chunk) in &values {
+            guards.push(guard(key, view.map().get(key).map_or(0, |stored| stored.version)));
+            writes.push(put(key, chunk, None));
+        }
+        self.writing = true;
+        let pending = Pending::Map(MapWrite { term: self.term, writes: writes.clone() });
+        io.state(pending, StateCall::Commit(Transaction { guards, writes }));
+    }
+
+    pub fn map_written(
+        &mut self,
+        io: &mut Io,
+        view: &mut View,
+        write: MapWrite,
+        reply: StateReply,
+    ) {
+        if write.term != self.term {
+            return;
+        }
+        self.writing = false;
+        // One change a fifth of a second: the state service has other work.
+        self.next_write = io.now + 6.0 / self.config.deployment.state.write_rps;
+        if let StateReply::Committed(version) = reply {
+            for write in &write.writes {
+                view.apply_write(write, version);
+            }
+        }
+        view.want_sync();
+        if !matches!(reply, StateReply::Committed(_)) {
+            // Not knowing what is stored, start again from what the next sync shows.
+            self.reread = true;
+            self.next_write = io.now + io.jitter(12.0 / self.config.deployment.state.write_rps);
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,20 +5,24 @@
 pub mod desk;
 pub mod io;
 pub mod jobs;
-pub mod lead;
+pub mod leader;
 pub mod machines;
+pub mod news;
+pub mod owner;
 pub mod part_map;
 pub mod peers;
 pub mod placement;
 pub mod preempt;
 pub mod quota;
 pub mod ranges;
+pub mod rebalance;
 pub mod schedule;
 pub mod supply;
+pub mod tracking;
 pub mod view;
 
 use crate::config::Config;
-use crate::ids::{JobId, Node, Version};
+use crate::ids::{JobId, Node, Team, Version};
 use crate::wire::{
     Changes, DirectOrders, JobSpec, Listing, MachineList, MachineNames, MachineTypes, Rental,
     Report, ReportAnswer, Transaction,
@@ -26,7 +30,8 @@
 use authority::Authority;
 use desk::Desk;
 use io::{Io, Pending};
-use lead::Lead;
+use leader::Leader;
+use owner::Owner;
 use peers::{MeshMessage, MeshReply, Peers};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -53,6 +58,14 @@
     Cancel(JobId),
 }
 
+impl UserRequest {
+    pub fn job(&self) -> &JobId {
+        match self {
+            Self::Submit(id, _) | Self::Poll(id) | Self::Cancel(id) => id,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub enum Input {
     User(RequestId, UserRequest),
@@ -173,8 +186,11 @@
     desk: Desk,
     peers: Peers,
     authority: Authority,
-    lead: Option<Lead>,
-    supply: supply::Catalog,
+    /// This process's share, while it is registered.
+    owner: Option<Owner>,
+    /// The map and the cloud, while this process leads.
+    leader: Option<Leader>,
+    catalog: supply::Catalog,
 }
 
 impl Core {
@@ -186,10 +202,11 @@
             io: Io::new(rng),
             view: View::new(&config),
             desk: Desk::default(),
-            peers: Peers::new(&config, incarnation),
+            peers: Peers::new(&config),
             authority: Authority::new(&config, incarnation),
-            lead: None,
-            supply: supply::Catalog::default(),
+            owner: None,
+            leader: None,
+            catalog: supply::Catalog::default(),
             config,
         }
     }
@@ -204,9 +221,15 @@
         self.io.take_effects()
     }
 
-    /// Whether this controller leads and is entitled to command machines.
+    /// Whether this controller leads and is entitled to act.
     pub fn leads(&self, now: Time) -> bool {
-        self.lead.is_some() && self.authority.entitled(now)
+        self.leader.is_some() && self.authority.entitled(now)
+    }
+
+    /// The teams for which this controller is entitled to start tasks.
+    pub fn teams(&self, now: Time) -> Vec<Team> {
+        let owner = self.owner.as_ref().filter(|_| self.authority.entitled(now));
+        owner.map(Owner::settled_teams).unwrap_or_default()
     }
 
     fn input(&mut self, input: Input) {
@@ -220,16 +243,20 @@
                     self.state_reply(pending, reply);
                 }
             }
-            Input::Cloud(call, reply) => {
-                if let Some(Pending::Cloud(pending)) = self.io.finish(call) {
-                    self.cloud_reply(pending, reply);
+            Input::Cloud(call, reply) => match self.io.finish(call) {
+                Some(Pending::Cloud(None)) => self.catalog_reply(reply),
+                Some(Pending::Cloud(Some(work))) => {
+                    if let Some(leader) = self.leader.as_mut() {
+                        leader.cloud_reply(&mut self.io, work, reply);
+                    }
                 }
-            }
+                _ => {}
+            },
             Input::Worker(call, reply) => {
-                if let (Some(Pending::Orders { machine, sent }), Some(lead)) =
-                    (self.io.finish(call), self.lead.as_mut())
+                if let (Some(Pending::Orders { machine, sent }), Some(owner)) =
+                    (self.io.finish(call), self.owner.as_mut())
                 {
-                    lead.orders_answered(&mut self.io, &self.view, &machine, &sent, reply);
+                    owner.orders_answered(&mut self.io, &self.view, &machine, &sent, reply);
                 }
             }
             Input::MeshReply(call, reply) => {
@@ -248,9 +275,14 @@
             Pending::Sync { sent } => self.synced(sent, reply),
             Pending::Desk(pending) => self.desk_reply(pending, reply),
             Pending::Authority(pending) => self.authority_reply(pending, reply),
-            Pending::Lead(term, pending) => {
-                if let Some(lead) = self.lead.as_mut().filter(|lead| lead.term == term) {
-                    lead.state_reply(&mut self.io, &mut self.view, pending, reply);
+            Pending::Job(write) => {
+                if let Some(owner) = self.owner.as_mut() {
+                    owner.job_written(&mut self.io, &mut self.view, write, reply);
+                }
+            }
+            Pending::Map(write) => {
+                if let Some(leader) = self.leader.as_mut() {
+                    leader.map_written(&mut self.io, &mut self.view, write, reply);
                 }
             }
             Pending::Orders { .. }
@@ -263,32 +295,83 @@
 
     /// Everything that happens by itself as time passes.
     fn advance(&mut self) {
+        let now = self.io.now;
         self.sync_when_due();
         self.desk_timeouts();
+        self.keep_authority();
+        self.catalog_when_due();
+        self.take_roles();
+        if self.authority.entitled(now) {
+            if let Some(owner) = self.owner.as_mut() {
+                owner.advance(&mut self.io, &mut self.view, &self.catalog);
+                owner.plan_when_due(&self.io, &self.catalog);
+                if !owner.has_machines() {
+                    // Nobody to hear from: silence says nothing.
+                    self.peers.heard_workers(now);
+                }
+                if owner.take_hurry() {
+                    self.peers.hurry(now);
+                }
+            }
+            if let Some(leader) = self.leader.as_mut() {
+                if let Some(owner) = self.owner.as_mut() {
+                    leader.needs(&self.config.node, owner.need.clone());
+                    owner.refused = leader.refused();
+                }
+                leader.advance(
+                    &mut self.io,
+                    &self.view,
+                    &mut self.authority,
+                    &self.peers,
+                    &self.catalog,
+                );
+            }
+        }
         self.hello_when_due();
-        self.lead_or_follow();
-        self.cloud_when_due();
-        if let Some(lead) = self.lead.as_mut()
-            && self.authority.entitled(self.io.now)
-        {
-            lead.advance(&mut self.io, &mut self.view, &self.supply);
+    }
+
+    /// A share begins once this process is registered; leading begins and ends with the key.
+    fn take_roles(&mut self) {
+        let now = self.io.now;
+        let incarnation = self.authority.incarnation();
+        let registered = self.view.node(&self.config.node).map(|n| n.record.incarnation);
+        if self.owner.is_none() && registered == Some(incarnation) && self.authority.entitled(now) {
+            self.owner = Some(Owner::new(&self.config, incarnation, now));
+            self.peers.heard_workers(now);
+        }
+        let leads = self.authority.leads(&self.view);
+        if self.leader.as_ref().map(|leader| leader.term) != leads {
+            // The map as of the key's own revision has every change of earlier leaders.
+            self.leader = leads.filter(|term| self.view.revision() >= *term).map(|term| {
+                tracing::info!("leading under term {term}");
+                Leader::new(&self.config, term, &self.view, now)
+            });
         }
     }
 
-    /// Answers a worker, or sends it where it should report.
+    /// Answers a worker, or sends it to its machine's owner.
     fn report(&mut self, request: RequestId, report: Report) {
         let now = self.io.now;
-        if self.leads(now)
-            && let Some(lead) = self.lead.as_mut()
+        let entitled = self.authority.entitled(now);
+        let owner = self.view.owners().machines.get(&report.machine).map(|o| o.node.clone());
+        if let Some(share) = self.owner.as_mut().filter(|_| entitled)
+            && let Some(answer) =
+                share.checkin(&mut self.io, &self.view, &self.catalog, report.clone())
         {
-            let answer = lead.checkin(&mut self.io, &self.view, &self.supply, report);
             self.peers.heard_workers(now);
             return self.io.answer(request, answer);
         }
-        // The leader in the store may be this very node, not yet or no longer entitled.
-        let leader = self.view.leader().map(|l| &l.record.node);
-        let elsewhere = leader.filter(|node| **node != self.config.node);
-        self.peers.sent_worker_away(now);
-        self.io.answer(request, Answer::value(421, crate::wire::report_to(elsewhere)));
+        if owner.is_none()
+            && let Some(leader) = self.leader.as_mut().filter(|_| entitled)
+        {
+            leader.newcomer(&report);
+        }
+        // A machine without an owner is the leader's to place.
+        let to = owner.or_else(|| self.view.leader().map(|leader| leader.record.node.clone()));
+        let to = to.filter(|node| *node != self.config.node);
+        if let Some(node) = &to {
+            self.peers.sent_worker(node, now);
+        }
+        self.io.answer(request, Answer::value(421, crate::wire::report_to(to.as_ref())));
     }
 }
--- /dev/null
+++ b/src/core/news.rs
@@ -0,0 +1,238 @@
+//! What shares tell one another. A machine's owner passes on what it sees there of other owners'
+//! teams and carries out their stops and forgets; so tasks keep running when their machine or
+//! their team changes hands. All of it is level-triggered: every message holds the whole present
+//! state, so that a lost or late one does no harm.
+
+use super::io::Io;
+use super::leader::Leader;
+use super::machines::{Machine, Phase};
+use super::owner::Owner;
+use super::supply::{Need, Offer};
+use super::view::View;
+use crate::ids::{Attempt, MachineId, Node, TaskId, Team, Term, Version, Zone};
+use crate::wire::{ReportedTask, TaskState};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct News {
+    /// The sender's view of the state service was this far: it has seen every change of the map
+    /// up to here, and starts nothing that those took from it.
+    pub revision: Version,
+    /// The sender wants to know of all the receiver's machines.
+    pub listening: bool,
+    /// The sender's machines that have shown this term's token, or are known empty.
+    pub settled: Vec<(MachineId, Term)>,
+    /// Of those, the ones with tasks of the receiver's teams.
+    pub facts: Vec<Fact>,
+    /// What the receiver is to do with the sender's teams' tasks on its machines.
+    pub wishes: Vec<Wish>,
+    /// To the leader: what the sender's share lacks and has to spare.
+    pub need: Need,
+    /// From the leader: what the cloud has none of at present.
+    pub refused: Option<BTreeSet<Offer>>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Fact {
+    pub machine: MachineId,
+    pub term: Term,
+    pub zone: Zone,
+    pub tasks: Vec<ReportedTask>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Wish {
+    pub machine: MachineId,
+    pub task: String,
+    pub attempt: Attempt,
+    pub stop: Option<f64>,
+    pub forget: bool,
+}
+
+impl Owner {
+    /// Something that a sibling should hear of soon.
+    pub(super) fn take_hurry(&mut self) -> bool {
+        std::mem::take(&mut self.hurry)
+    }
+
+    pub fn news_for(&self, node: &Node, view: &View, leader: Option<&Leader>) -> News {
+        let owners = view.owners();
+        let theirs: BTreeSet<&Team> =
+            owners.teams.iter().filter(|(_, o)| o.node == *node).map(|(team, _)| team).collect();
+        let (mut settled, mut facts, mut wishes) = (Vec::new(), Vec::new(), Vec::new());
+        let tells = self.listeners.contains(node);
+        for machine in self.machines.values() {
+            if machine.mine && machine.settled() && tells {
+                settled.push((machine.id.clone(), machine.token));
+                let tasks = tasks_of(machine, &theirs);
+                if !tasks.is_empty() {
+                    let (id, term, zone) =
+                        (machine.id.clone(), machine.token, machine.zone.clone());
+                    facts.push(Fact { machine: id, term, zone, tasks });
+                }
+            } else if !machine.mine
+                && owners.machines.get(&machine.id).is_some_and(|o| o.node == *node)
+            {
+                for ((task, attempt), held) in &machine.on {
+                    if held.stop.is_some() || held.forget {
+                        wishes.push(Wish {
+                            machine: machine.id.clone(),
+                            task: task.to_string(),
+                            attempt: *attempt,
+                            stop: held.stop,
+                            forget: held.forget,
+                        });
+                    }
+                }
+            }
+        }
+        News {
+            revision: view.revision(),
+            listening: self.listening(),
+            settled,
+            facts,
+            wishes,
+            need: self.need.clone(),
+            refused: leader.map(Leader::refused),
+        }
+    }
+
+    /// Whether this share waits for facts, or follows tasks on others' machines.
+    fn listening(&self) -> bool {
+        self.teams.values().any(|team| !team.unsettled.is_empty())
+            || self.machines.values().any(|m| !m.mine && !m.on.is_empty())
+    }
+
+    pub fn take_news(
+        &mut self,
+        io: &mut Io,
+        view: &View,
+        from: &Node,
+        incarnation: u64,
+        news: News,
+    ) {
+        if news.listening {
+            self.hurry |= self.listeners.insert(from.clone());
+        } else {
+            self.listeners.remove(from);
+        }
+        if let Some(refused) = news.refused {
+            self.refused = refused;
+        }
+        let former = (from.clone(), incarnation);
+        for machine in self.machines.values_mut() {
+            // It has seen the change of the map, and so answers the machine no more.
+            if machine.former.as_ref() == Some(&former) && news.revision >= machine.gained {
+                machine.former = None;
+                machine.answered = machine.answered.max(io.now);
+            }
+        }
+        for wish in news.wishes {
+            self.grant(view, from, wish);
+        }
+        let mut facts: BTreeMap<MachineId, Fact> =
+            news.facts.into_iter().map(|fact| (fact.machine.clone(), fact)).collect();
+        for (id, term) in news.settled {
+            let current = |o: &super::part_map::Owner| o.is(from, incarnation) && o.term == term;
+            // What a former owner says, or says of an earlier term, does not count.
+            if view.owners().machines.get(&id).is_some_and(current) {
+                self.take_fact(io, view, &id, term, news.revision, facts.remove(&id));
+            }
+        }
+    }
+
+    /// A sibling's machine is settled: these tasks of our teams are on it, and no others.
+    fn take_fact(
+        &mut self,
+        io: &mut Io,
+        view: &View,
+        id: &MachineId,
+        term: Term,
+        revision: Version,
+        fact: Option<Fact>,
+    ) {
+        let now = io.now;
+        if fact.is_none() && !self.machines.contains_key(id) {
+            return self.settled_elsewhere(id, revision);
+        }
+        let machine = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::named(id.clone(), term, now));
+        if machine.mine {
+            return;
+        }
+        let mut shown = BTreeSet::new();
+        if let Some(fact) = fact {
+            machine.zone = fact.zone;
+            for reported in &fact.tasks {
+                if let Some(task) = TaskId::parse(&reported.task) {
+                    shown.insert((task.clone(), reported.attempt));
+                    self.take_task(io, view, id, task, reported);
+                }
+            }
+        }
+        let Some(machine) = self.machines.get(id) else { return };
+        let teams = &self.teams;
+        let told = |team: &Option<Team>| {
+            let gained = team.as_ref().and_then(|team| teams.get(team)).map(|team| team.gained);
+            gained.is_none_or(|gained| revision >= gained)
+        };
+        // Not shown though the sender knew whose the team is: it is not there. Nothing that was
+        // sent before the machine changed hands can arrive any more, its token has risen.
+        let gone: Vec<_> = machine
+            .on
+            .iter()
+            .filter(|(key, held)| !shown.contains(key) && told(&held.team))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for (task, attempt) in gone {
+            self.drop_held(id, &task, attempt, now);
+        }
+        if self.machines.get(id).is_some_and(|m| !m.mine && m.on.is_empty()) {
+            self.machines.remove(id);
+        }
+        self.settled_elsewhere(id, revision);
+    }
+
+    fn settled_elsewhere(&mut self, id: &MachineId, revision: Version) {
+        for team in self.teams.values_mut() {
+            if revision >= team.gained {
+                team.unsettled.remove(id);
+            }
+        }
+    }
+
+    /// Carries out what a team's owner wants of a task on one of our machines.
+    fn grant(&mut self, view: &View, from: &Node, wish: Wish) {
+        let Some(task) = TaskId::parse(&wish.task) else { return };
+        let Some(machine) = self.machines.get_mut(&wish.machine).filter(|m| m.mine) else { return };
+        let Some(held) = machine.on.get_mut(&(task, wish.attempt)) else { return };
+        let owner = held.team.as_ref().and_then(|team| view.owners().teams.get(team));
+        if owner.is_none_or(|owner| owner.node != *from) {
+            return;
+        }
+        held.forget |= wish.forget;
+        if let (Some(grace), false) = (wish.stop, held.exited())
+            && held.stop.is_none_or(|before| grace < before)
+        {
+            held.stop = Some(grace);
+            self.push.insert(wish.machine);
+        }
+    }
+}
+
+fn tasks_of(machine: &Machine, teams: &BTreeSet<&Team>) -> Vec<ReportedTask> {
+    let of_teams = |team: &Option<Team>| team.as_ref().is_some_and(|team| teams.contains(team));
+    let held = machine.on.iter().filter(|(_, held)| of_teams(&held.team));
+    held.map(|((task, attempt), held)| {
+        let (state, why) = match held.phase {
+            Phase::Issued => (TaskState::Fetching, None),
+            Phase::Seen(state) => (state, None),
+            Phase::Exited(why) => (TaskState::Exited, Some(why)),
+        };
+        ReportedTask { task: task.to_string(), attempt: *attempt, state, why, saved: None }
+    })
+    .collect()
+}
--- /dev/null
+++ b/src/core/owner.rs
@@ -0,0 +1,511 @@
+//! A controller's work for its share: it runs its teams' jobs on its machines. Created when the
+//! process has registered, dropped when its authority is lost. What the machines tell is followed
+//! in [`super::tracking`], where they are commanded too.
+
+use super::authority::Process;
+use super::io::{Io, Pending};
+use super::jobs::{Job, Task};
+use super::machines::{Held, Machine, Phase};
+use super::part_map;
+use super::placement::{Room, Weights};
+use super::quota::Usage;
+use super::supply::{Catalog, Forecast, Need, Offer};
+use super::view::{JobRecord, View, guard, job_key, put};
+use super::{StateCall, StateReply, Time};
+use crate::config::Config;
+use crate::ids::{Attempt, JobId, MachineId, Node, TaskId, Team, Term, Version};
+use crate::wire::{Exit, JobSpec, Stance, Transaction, Write};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+#[derive(Debug)]
+pub struct JobWrite {
+    job: JobId,
+    write: Write,
+}
+
+/// A team this share owns.
+pub struct OwnedTeam {
+    term: Term,
+    /// The view's revision when it was gained.
+    pub gained: Version,
+    /// Machines that may still hold tasks of it which nobody has told of.
+    pub unsettled: BTreeSet<MachineId>,
+    attempts: u64,
+}
+
+pub struct Owner {
+    pub(super) config: Rc<Config>,
+    pub(super) incarnation: u64,
+    pub(super) jobs: BTreeMap<JobId, Job>,
+    /// Our machines, and others' as far as tasks of our teams may be on them.
+    pub(super) machines: BTreeMap<MachineId, Machine>,
+    pub(super) teams: BTreeMap<Team, OwnedTeam>,
+    map_seen: Option<u64>,
+    /// Machines that have orders to be sent at once.
+    pub(super) push: BTreeSet<MachineId>,
+    /// Something changed that placement may profit from.
+    pub(super) changed: bool,
+    scheduled: Time,
+    writes: Budget,
+    running: BTreeMap<JobId, (u32, u32)>,
+    running_at: Time,
+    pub(super) weights: Weights,
+    pub(super) forecast: Forecast,
+    pub(super) need: Need,
+    pub(super) next_plan: Time,
+    /// What the cloud has none of at present, as the leader knows.
+    pub(super) refused: BTreeSet<Offer>,
+    /// Siblings that want to hear of our machines.
+    pub(super) listeners: BTreeSet<Node>,
+    /// Something has come up that a sibling should hear of soon.
+    pub(super) hurry: bool,
+}
+
+/// Attempt numbers to a term of a team.
+const ATTEMPTS: u64 = 1 << 16;
+
+/// A share of the state service's writes a second, with one second's worth of burst.
+struct Budget {
+    rate: f64,
+    left: f64,
+    at: Time,
+}
+
+impl Budget {
+    fn take(&mut self, now: Time) -> bool {
+        self.left = (self.left + (now - self.at) * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+        if self.left >= 1.0 {
+            self.left -= 1.0;
+            return true;
+        }
+        false
+    }
+}
+
+impl Owner {
+    pub fn new(config: &Rc<Config>, incarnation: u64, now: Time) -> Self {
+        // Shares write on their own; together they keep within the state service's rate.
+        let rate = config.deployment.state.write_rps * 0.75 / config.controllers() as f64;
+        Self {
+            config: config.clone(),
+            incarnation,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            map_seen: None,
+            push: BTreeSet::new(),
+            changed: true,
+            scheduled: now,
+            writes: Budget { rate, left: rate, at: now },
+            running: BTreeMap::new(),
+            running_at: Time::NEG_INFINITY,
+            weights: Weights::default(),
+            forecast: Forecast::default(),
+            need: Need::default(),
+            next_plan: now,
+            refused: BTreeSet::new(),
+            listeners: BTreeSet::new(),
+            hurry: false,
+        }
+    }
+
+    pub fn advance(&mut self, io: &mut Io, view: &mut View, catalog: &Catalog) {
+        let now = io.now;
+        self.follow_map(io, view);
+        for id in view.take_changed() {
+            if let Some(stored) = view.job(&id) {
+                let (record, version) = (stored.record.clone(), stored.version);
+                self.take_job(&id, &record, version, (now, io.wall_ms), true);
+            }
+        }
+        for machine in self.machines.values_mut() {
+            if machine.total == Room::default() && !machine.address.is_empty() {
+                machine.set_type(catalog.types());
+            }
+        }
+        for machine in self.machines.values_mut() {
+            // A successor of its process has registered, so that has ended.
+            let ended = |(node, incarnation): &Process| {
+                view.node(node).is_some_and(|n| n.record.incarnation != *incarnation)
+            };
+            if machine.former.as_ref().is_some_and(ended) {
+                machine.former = None;
+                machine.answered = machine.answered.max(now);
+            }
+        }
+        self.expire_machines(now);
+        self.settle_when_known(view);
+        self.record_progress(io);
+        let report_s = self.config.deployment.workers.report_s;
+        if self.changed || now > self.scheduled + report_s * 0.25 {
+            self.changed = false;
+            self.scheduled = now;
+            self.drain(now);
+            self.schedule(now);
+        }
+        self.count_running(now);
+        self.push_orders(io);
+    }
+
+    // ---- the share ----
+
+    /// Takes up what the map gives this process, and lets go of what it gives to others.
+    fn follow_map(&mut self, io: &mut Io, view: &View) {
+        if self.map_seen.replace(view.map_changes()) == Some(view.map_changes()) {
+            return;
+        }
+        let now = io.now;
+        let owners = view.owners();
+        let mine = |o: &part_map::Owner| o.is(&self.config.node, self.incarnation);
+        for (id, owner) in &owners.machines {
+            let mine = mine(owner);
+            match self.machines.get_mut(id) {
+                Some(machine) if machine.mine != mine || machine.token != owner.term => {
+                    machine.change_hands(owner.term, mine, now);
+                    machine.former = owner.former.clone().filter(|_| mine);
+                    machine.gained = view.revision();
+                    self.changed = true;
+                }
+                None if mine => {
+                    let mut machine = Machine::named(id.clone(), owner.term, now);
+                    machine.mine = true;
+                    machine.former = owner.former.clone();
+                    machine.gained = view.revision();
+                    self.machines.insert(id.clone(), machine);
+                }
+                _ => {}
+            }
+        }
+        // The leader takes a machine off the map once it is deleted.
+        let gone: Vec<MachineId> =
+            self.machines.keys().filter(|id| !owners.machines.contains_key(*id)).cloned().collect();
+        let teams = owners.teams.iter().filter(|(_, owner)| mine(owner));
+        let wanted: BTreeMap<Team, Term> = teams.map(|(t, o)| (t.clone(), o.term)).collect();
+        for id in gone {
+            self.remove_machine(&id, now);
+        }
+        let lost: Vec<Team> =
+            self.teams.keys().filter(|team| !wanted.contains_key(*team)).cloned().collect();
+        for team in lost {
+            tracing::info!("team {team} goes to another controller");
+            self.teams.remove(&team);
+            self.jobs.retain(|_, job| job.spec.team != team);
+        }
+        for (team, term) in wanted {
+            match self.teams.get_mut(&team) {
+                None => self.gain_team(io, view, team, term),
+                // A fresh term for the same owner: only the attempts begin anew.
+                Some(owned) if owned.term != term => {
+                    owned.term = term;
+                    owned.attempts = 0;
+                }
+                Some(_) => {}
+            }
+        }
+        let teams = &self.teams;
+        let ours = |held: &Held| held.team.as_ref().is_some_and(|team| teams.contains_key(team));
+        self.machines.retain(|_, machine| {
+            if !machine.mine {
+                machine.on.retain(|_, held| ours(held));
+            }
+            machine.mine || !machine.on.is_empty()
+        });
+    }
+
+    /// Nothing of a team that is new here is started until every machine in the map has shown
+    /// what it holds, or is known empty. Jobs that appear later were started by nobody else.
+    fn gain_team(&mut self, io: &mut Io, view: &View, team: Team, term: Term) {
+        tracing::info!("team {team} is ours under term {}", term.0);
+        let unsettled = view.owners().machines.keys().cloned().collect();
+        let owned = OwnedTeam { term, gained: view.revision(), unsettled, attempts: 0 };
+        self.teams.insert(team.clone(), owned);
+        self.settle_when_known(view);
+        let of_team = |record: &JobRecord| record.spec.as_ref().is_some_and(|s| s.team == team);
+        for (id, stored) in view.jobs() {
+            // One of our own writes, newer than the view, waits for the next sync.
+            if of_team(&stored.record) && stored.version <= view.revision() {
+                self.take_job(id, &stored.record, stored.version, (io.now, io.wall_ms), false);
+            }
+        }
+    }
+
+    /// A team's tasks that nobody showed are nowhere once every machine is settled.
+    fn settle_when_known(&mut self, view: &View) {
+        let machines = &self.machines;
+        let on_map = &view.owners().machines;
+        let settled = |id: &MachineId| machines.get(id).is_some_and(|m| m.mine && m.settled());
+        for (name, team) in &mut self.teams {
+            if !team.unsettled.is_empty() {
+                team.unsettled.retain(|id| on_map.contains_key(id) && !settled(id));
+                if team.unsettled.is_empty() {
+                    tracing::info!("team {name} is settled");
+                }
+            }
+        }
+        for job in self.jobs.values_mut().filter(|job| job.unsettled() > 0) {
+            if self.teams.get(&job.spec.team).is_some_and(|team| team.unsettled.is_empty()) {
+                job.settle();
+                self.changed = true;
+            }
+        }
+    }
+
+    pub fn has_machines(&self) -> bool {
+        self.machines.values().any(|machine| machine.mine)
+    }
+
+    pub fn settled_teams(&self) -> Vec<Team> {
+        let settled = self.teams.iter().filter(|(_, team)| team.unsettled.is_empty());
+        settled.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// A fresh attempt number for a team's tasks: higher than any before, whoever owned it. None
+    /// when the term has no more; the leader gives the team a new one before that.
+    pub(super) fn next_attempt(&mut self, team: &Team) -> Option<Attempt> {
+        let team = self.teams.get_mut(team)?;
+        team.attempts += 1;
+        (team.attempts < ATTEMPTS).then_some(Attempt(team.term.0 * ATTEMPTS + team.attempts))
+    }
+
+    /// Teams whose term is running out of attempt numbers.
+    pub(super) fn worn_teams(&self) -> Vec<Team> {
+        let worn = self.teams.iter().filter(|(_, team)| team.attempts > ATTEMPTS / 2);
+        worn.map(|(team, _)| team.clone()).collect()
+    }
+
+    // ---- jobs ----
+
+    /// A job's record is new or has changed. `new`: it appeared after its team came here.
+    fn take_job(
+        &mut self,
+        id: &JobId,
+        record: &Rc<JobRecord>,
+        version: Version,
+        (now, wall_ms): (Time, u64),
+        new: bool,
+    ) {
+        if record.is_final() {
+            return self.job_over(id);
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.version = version;
+            job.record = record.clone();
+            return;
+        }
+        let Some(spec) = &record.spec else { return };
+        let Some(team) = self.teams.get(&spec.team) else { return };
+        let settled = new || team.unsettled.is_empty();
+        let age = wall_ms.saturating_sub(record.accepted_ms) as f64 / 1e3;
+        let mut job = Job::new(spec.clone(), record.clone(), version, now - age, settled);
+        if job.is_gang() && !job.done.is_empty() {
+            (0..spec.tasks).for_each(|index| job.set(index, Task::Done, None));
+            job.dirty = Some(now);
+        }
+        // Attempts of it may be on machines that reported before it was known here.
+        let mut exits = Vec::new();
+        for machine in self.machines.values_mut() {
+            for ((task, attempt), held) in &mut machine.on {
+                if task.job != *id {
+                    continue;
+                }
+                describe(held, spec);
+                if let Phase::Exited(why) = held.phase {
+                    exits.push((machine.id.clone(), task.clone(), *attempt, why));
+                } else if matches!(job.task(task.index), Some(Task::Waiting | Task::Unsettled)) {
+                    let placed = Task::Placed(machine.id.clone(), *attempt);
+                    job.set(task.index, placed, Some(&machine.zone));
+                    job.began |= held.began.is_some();
+                }
+            }
+        }
+        if new {
+            self.forecast.arrived(spec, now);
+        }
+        self.jobs.insert(id.clone(), job);
+        self.changed = true;
+        for (machine, task, attempt, why) in exits {
+            self.task_exited(&machine, &task, attempt, why, now);
+        }
+    }
+
+    /// Done or cancelled, and recorded so: its tasks go, and their exits may be forgotten.
+    fn job_over(&mut self, id: &JobId) {
+        self.changed |= self.jobs.remove(id).is_some();
+        for machine in self.machines.values_mut() {
+            for ((task, _), held) in &mut machine.on {
+                if task.job != *id {
+                    continue;
+                }
+                held.forget = true;
+                if !held.exited() && held.stop != Some(0.0) {
+                    held.stop = Some(0.0);
+                    self.push.insert(machine.id.clone());
+                }
+            }
+        }
+    }
+
+    pub fn counts(&self, id: &JobId) -> Option<(u32, u32)> {
+        self.running.get(id).copied()
+    }
+
+    pub fn running(&self) -> Vec<(JobId, u32, u32)> {
+        self.running.iter().map(|(id, &(done, running))| (id.clone(), done, running)).collect()
+    }
+
+    fn count_running(&mut self, now: Time) {
+        if now < self.running_at + self.config.deployment.workers.lease_s / 20.0 {
+            return;
+        }
+        self.running_at = now;
+        self.running.clear();
+        for ((task, _), held) in self.machines.values().flat_map(|machine| &machine.on) {
+            if held.has_image()
+                && let Some(job) = self.jobs.get(&task.job)
+            {
+                let counts = self.running.entry(task.job.clone()).or_default();
+                *counts = (job.done.len(), counts.1 + 1);
+            }
+        }
+    }
+
+    /// Records progress: a completed job at once, the rest at leisure.
+    fn record_progress(&mut self, io: &mut Io) {
+        let now = io.now;
+        let leisure = self.config.deployment.workers.report_s;
+        let value_limit = self.config.deployment.state.value_kb * 1024.0;
+        // A range takes up to 15 bytes; the rest of a record keeps within half of the value.
+        let ranges = ((value_limit / 2.0 / 15.0) as usize).max(1);
+        let mut due: Vec<(bool, Time, JobId)> = Vec::new();
+        for (id, job) in &self.jobs {
+            let Some(since) = job.dirty else { continue };
+            if job.write_out || now < job.write_after {
+                continue;
+            }
+            let complete = job.all_done();
+            if complete || now >= since + leisure {
+                due.push((!complete, since, id.clone()));
+            }
+        }
+        due.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        for (_, _, id) in due {
+            if !self.writes.take(now) {
+                return;
+            }
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let record = if job.all_done() {
+                job.record.ended(Stance::Done)
+            } else {
+                let mut done = job.done.clone();
+                done.keep_largest(ranges);
+                JobRecord { done, ..(*job.record).clone() }
+            };
+            job.write_out = true;
+            job.dirty = None;
+            let key = job_key(&id);
+            let write = put(&key, &record, None);
+            let transaction = Transaction {
+                // Progress is true whoever records it: the record's version is guard enough.
+                guards: vec![guard(&key, job.version)],
+                writes: vec![write.clone()],
+            };
+            let pending = Pending::Job(JobWrite { job: id, write });
+            io.state(pending, StateCall::Commit(transaction));
+        }
+    }
+
+    pub(super) fn job_written(
+        &mut self,
+        io: &mut Io,
+        view: &mut View,
+        JobWrite { job: id, write }: JobWrite,
+        reply: StateReply,
+    ) {
+        let now = io.now;
+        if let StateReply::Committed(version) = reply {
+            view.apply_write(&write, version);
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.write_out = false;
+        match reply {
+            StateReply::Committed(_) => {
+                let Some(stored) = view.job(&id) else { return };
+                let (record, version) = (stored.record.clone(), stored.version);
+                for machine in self.machines.values_mut() {
+                    for ((task, _), held) in &mut machine.on {
+                        let done = held.phase == Phase::Exited(Exit::Done);
+                        held.forget |= task.job == id && done && record.done.contains(task.index);
+                    }
+                }
+                self.take_job(&id, &record, version, (now, io.wall_ms), true);
+            }
+            other => {
+                // Cancelled meanwhile, or outcome unknown: the view tells before the next try.
+                view.want_sync();
+                job.dirty.get_or_insert(now);
+                let pause = if other == StateReply::Conflict { 0.1 } else { 0.3 };
+                job.write_after = now + io.jitter(pause);
+            }
+        }
+    }
+
+    /// A gang's tasks complete together: if one is done, they all are. The others' machines may
+    /// be lost before they can say so.
+    pub(super) fn gang_done(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        for index in 0..job.spec.tasks {
+            let zone = match job.task(index) {
+                Some(Task::Placed(machine, _)) => {
+                    self.machines.get(machine).map(|m| m.zone.clone())
+                }
+                _ => None,
+            };
+            job.set(index, Task::Done, zone.as_ref());
+        }
+    }
+
+    /// One task of a gang is gone: the others cannot go on, so they make room at once.
+    pub(super) fn gang_lost_one(&mut self, id: &JobId, attempt: Attempt) {
+        let Some(job) = self.jobs.get(id).filter(|job| job.is_gang() && job.spec.tasks > 1) else {
+            return;
+        };
+        for index in 0..job.spec.tasks {
+            let Some(Task::Placed(machine, other)) = job.task(index) else { continue };
+            let key = (TaskId { job: id.clone(), index }, attempt);
+            if *other == attempt
+                && let Some(machine) = self.machines.get_mut(machine)
+                && let Some(held) = machine.on.get_mut(&key)
+                && !held.exited()
+                && held.stop.is_none()
+            {
+                held.stop = Some(0.0);
+                self.push.insert(machine.id.clone());
+            }
+        }
+    }
+
+    /// Everything of our teams that may be on a machine, and what may be on machines not heard.
+    pub(super) fn usage(&self) -> Usage {
+        let mut usage = Usage::default();
+        for held in self.machines.values().flat_map(|m| m.on.values()) {
+            if let (Some(room), Some(team), false) = (&held.room, &held.team, held.exited()) {
+                usage.add(team, room.cpus, room.gpus);
+            }
+        }
+        for job in self.jobs.values().filter(|job| job.unsettled() > 0) {
+            let tasks = f64::from(job.unsettled());
+            usage.add(&job.spec.team, job.spec.cpus * tasks, job.spec.gpus * tasks);
+        }
+        usage
+    }
+}
+
+pub(super) fn describe(held: &mut Held, spec: &JobSpec) {
+    held.room = Some(Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb });
+    held.team = Some(spec.team.clone());
+    held.image = Some((spec.image.clone(), spec.image_gb));
+    held.priority = spec.priority;
+    held.save_s = if spec.checkpoint_s > 0.0 { spec.save_s } else { 0.0 };
+}
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -1,11 +1,13 @@
 //! What the controllers tell one another: that they live, vouchers and consents for authority,
 //! how many tasks run (for display), and users' requests that a controller cannot answer itself.
 
+use super::authority::Process;
 use super::io::Pending;
-use super::lead::Lead;
+use super::news::News;
+use super::owner::Owner;
 use super::{Answer, Body, Core, RequestId, Time, UserRequest};
 use crate::config::Config;
-use crate::ids::{JobId, Node, Term};
+use crate::ids::{JobId, Node};
 use crate::wire::JobSpec;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -24,12 +26,17 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Hello {
     pub from: Node,
-    /// The sender leads under this term and cannot renew its lease.
-    pub wants_voucher: Option<Term>,
-    /// The sender holds the leader key under this term and wants to act.
-    pub wants_consent: Option<Term>,
-    /// From the leader: tasks done and running, of jobs that run.
-    pub running: Option<Vec<(JobId, u32, u32)>>,
+    pub incarnation: u64,
+    /// Rises with every hello of a process, so that late ones are known.
+    pub number: u64,
+    /// The sender cannot renew its lease.
+    pub wants_voucher: bool,
+    /// The sender leads and wants to hand on these lapsed processes' shares.
+    pub wants_consent: Vec<Process>,
+    /// Tasks done and running, of jobs that run in the sender's share.
+    pub running: Vec<(JobId, u32, u32)>,
+    /// What the sender's share has to tell the receiver's.
+    pub news: Option<News>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -43,9 +50,9 @@
 pub struct HelloReply {
     pub incarnation: u64,
     pub vouches: bool,
-    pub consents: bool,
+    pub consents: Vec<Process>,
     pub has_state: bool,
-    /// Workers came here lately and were sent to the leader.
+    /// Workers came here lately and were sent to the asker.
     pub sends_workers: bool,
 }
 
@@ -56,40 +63,44 @@
     has_state: bool,
     sends_workers: bool,
     hello_out: bool,
+    /// Process and number of its newest hello.
+    newest: (u64, u64),
+    running: BTreeMap<JobId, (u32, u32)>,
+    /// When a worker was last sent to it.
+    sent_worker: Time,
 }
 
 pub struct Peers {
     node: Node,
-    incarnation: u64,
     peers: BTreeMap<Node, Peer>,
     next_hello: Time,
     interval: Time,
     recent: Time,
-    running: BTreeMap<JobId, (u32, u32)>,
+    number: u64,
     heard_workers: Time,
-    sent_worker_away: Time,
 }
 
 impl Peers {
-    pub fn new(config: &Config, incarnation: u64) -> Self {
+    pub fn new(config: &Config) -> Self {
         let peer = || Peer {
             incarnation: None,
             heard: Time::NEG_INFINITY,
             has_state: false,
             sends_workers: false,
             hello_out: false,
+            newest: (0, 0),
+            running: BTreeMap::new(),
+            sent_worker: Time::NEG_INFINITY,
         };
         let interval = config.deployment.workers.lease_s / 20.0;
         Self {
             node: config.node.clone(),
-            incarnation,
             peers: config.siblings.iter().map(|s| (s.node.clone(), peer())).collect(),
             next_hello: 0.0,
             interval,
             recent: interval * 4.0,
-            running: BTreeMap::new(),
+            number: 0,
             heard_workers: Time::NEG_INFINITY,
-            sent_worker_away: Time::NEG_INFINITY,
         }
     }
 
@@ -111,15 +122,22 @@
     }
 
     pub fn running(&self, job: &JobId) -> Option<(u32, u32)> {
-        self.running.get(job).copied()
+        self.peers.values().find_map(|peer| peer.running.get(job).copied())
     }
 
     pub fn heard_workers(&mut self, now: Time) {
         self.heard_workers = now;
     }
 
-    pub fn sent_worker_away(&mut self, now: Time) {
-        self.sent_worker_away = now;
+    pub fn sent_worker(&mut self, to: &Node, now: Time) {
+        if let Some(peer) = self.peers.get_mut(to) {
+            peer.sent_worker = now;
+        }
+    }
+
+    /// Something to tell has come up that should not wait for the next hello.
+    pub fn hurry(&mut self, now: Time) {
+        self.next_hello = self.next_hello.min(now + self.interval * 0.2);
     }
 
     /// Workers reach siblings but, for `silence` seconds, not this controller.
@@ -136,43 +154,40 @@
             return;
         }
         self.peers.next_hello = now + self.io.jitter(self.peers.interval);
+        self.peers.number += 1;
         let entitled = self.authority.entitled(now);
-        let running = self.lead.as_ref().filter(|_| entitled).map(Lead::running);
-        let hello = Hello {
-            from: self.peers.node.clone(),
-            wants_voucher: self.authority.wants_voucher(now),
-            wants_consent: self.authority.wants_consent(),
-            running,
-        };
-        for (node, peer) in &mut self.peers.peers {
-            if !std::mem::replace(&mut peer.hello_out, true) {
-                let pending = Pending::Hello { node: node.clone(), sent: now };
-                self.io.mesh(pending, node, MeshMessage::Hello(Box::new(hello.clone())));
+        let owner = self.owner.as_ref().filter(|_| entitled);
+        let running = owner.map(Owner::running).unwrap_or_default();
+        let (wants_voucher, wants_consent) =
+            (self.authority.wants_voucher(now).is_some(), self.authority.wanted_consents());
+        let nodes: Vec<Node> = self.peers.peers.keys().cloned().collect();
+        for node in nodes {
+            let news = self
+                .owner
+                .as_ref()
+                .filter(|_| entitled)
+                .map(|owner| owner.news_for(&node, &self.view, self.leader.as_ref()));
+            let Some(peer) = self.peers.peers.get_mut(&node) else { continue };
+            if std::mem::replace(&mut peer.hello_out, true) {
+                continue;
             }
+            let hello = Hello {
+                from: self.peers.node.clone(),
+                incarnation: self.authority.incarnation(),
+                number: self.peers.number,
+                wants_voucher,
+                wants_consent: wants_consent.clone(),
+                running: running.clone(),
+                news,
+            };
+            let pending = Pending::Hello { node: node.clone(), sent: now };
+            self.io.mesh(pending, &node, MeshMessage::Hello(Box::new(hello)));
         }
     }
 
     pub(super) fn mesh_message(&mut self, request: RequestId, message: MeshMessage) {
-        let now = self.io.now;
         match message {
-            MeshMessage::Hello(hello) => {
-                if let Some(running) = hello.running {
-                    self.peers.running =
-                        running.into_iter().map(|(job, done, runs)| (job, (done, runs))).collect();
-                }
-                let reply = HelloReply {
-                    incarnation: self.peers.incarnation,
-                    vouches: hello.wants_voucher.is_some_and(|term| {
-                        self.authority.vouch(&hello.from, term, &self.view, now)
-                    }),
-                    consents: hello
-                        .wants_consent
-                        .is_some_and(|term| self.authority.consent(&hello.from, term, now)),
-                    has_state: self.has_state(),
-                    sends_workers: now - self.peers.sent_worker_away < self.peers.recent,
-                };
-                self.io.mesh_answer(request, MeshReply::Hello(reply));
-            }
+            MeshMessage::Hello(hello) => self.hello(request, *hello),
             MeshMessage::Submit(id, spec) => {
                 self.relayed_request(request, UserRequest::Submit(id, spec));
             }
@@ -185,6 +200,44 @@
         }
     }
 
+    fn hello(&mut self, request: RequestId, hello: Hello) {
+        let now = self.io.now;
+        let Hello { from, incarnation, wants_consent, .. } = hello;
+        let Some(peer) = self.peers.peers.get_mut(&from) else {
+            return self.io.mesh_answer(request, MeshReply::Noted);
+        };
+        // Held up in the network, hellos arrive late: what they tell is then left out.
+        let late = peer.newest.0 == incarnation && peer.newest.1 >= hello.number;
+        let sends_workers = now - peer.sent_worker < self.peers.recent;
+        if !late {
+            peer.newest = (incarnation, hello.number);
+            peer.running =
+                hello.running.into_iter().map(|(job, done, runs)| (job, (done, runs))).collect();
+        }
+        let vouches =
+            hello.wants_voucher && self.authority.vouch(&from, incarnation, &self.view, now);
+        let consents = wants_consent
+            .into_iter()
+            .filter(|process| self.authority.consent(process, now))
+            .collect();
+        if let (Some(news), false) = (hello.news, late) {
+            if let Some(leader) = self.leader.as_mut() {
+                leader.needs(&from, news.need.clone());
+            }
+            if let Some(owner) = self.owner.as_mut() {
+                owner.take_news(&mut self.io, &self.view, &from, incarnation, news);
+            }
+        }
+        let reply = HelloReply {
+            incarnation: self.authority.incarnation(),
+            vouches,
+            consents,
+            has_state: self.has_state(),
+            sends_workers,
+        };
+        self.io.mesh_answer(request, MeshReply::Hello(reply));
+    }
+
     pub(super) fn mesh_reply(&mut self, pending: Pending, reply: Option<MeshReply>) {
         let now = self.io.now;
         match (pending, reply) {
@@ -202,9 +255,7 @@
                 if reply.vouches {
                     self.authority.vouched(&node, sent, now);
                 }
-                if reply.consents {
-                    self.authority.consented(node);
-                }
+                self.authority.consented(&node, &reply.consents);
             }
             (Pending::Relay { request }, Some(MeshReply::Answer { status, body, retry_after })) => {
                 let body = body.map_or(Body::Empty, Body::Value);
@@ -227,7 +278,7 @@
     /// outage for all, staying in rotation costs users less than leaving and coming back).
     pub(super) fn health(&mut self, request: RequestId) {
         let able = self.view.complete()
-            && self.supply.known()
+            && self.catalog.known()
             && (self.has_state() || self.peers.heard_any(self.io.now));
         self.io.answer(request, Answer::empty(if able { 200 } else { 503 }));
     }
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -3,8 +3,8 @@
 //! progress gets the time to.
 
 use super::Time;
-use super::lead::Lead;
 use super::machines::{Held, Machine};
+use super::owner::Owner;
 use super::placement::Room;
 use super::quota::Usage;
 use super::schedule::{Slot, allowed, limits};
@@ -20,13 +20,13 @@
 }
 
 /// What stopping a task loses, in seconds of its work.
-fn loss(lead: &Lead, task: &TaskId, held: &Held, now: Time) -> Option<(Time, f64)> {
-    let job = lead.jobs.get(&task.job)?;
+fn loss(share: &Owner, task: &TaskId, held: &Held, now: Time) -> Option<(Time, f64)> {
+    let job = share.jobs.get(&task.job)?;
     let ran = held.began.map_or(0.0, |began| now - began);
     let saves = job.spec.checkpoint_s > 0.0;
     Some(match job.spec.kind {
         // A replica that stops is missed until it is up elsewhere.
-        Kind::Service => (ran.min(lead.config.deployment.workers.cancel_s) + 1.0, 0.0),
+        Kind::Service => (ran.min(share.config.deployment.workers.cancel_s) + 1.0, 0.0),
         _ if held.began.is_none() => (0.0, 0.0),
         _ if saves => (job.spec.save_s, job.spec.save_s),
         _ => (ran, 0.0),
@@ -35,16 +35,16 @@
 
 /// Picks what to stop for `count` tasks of a job that found no room.
 pub fn make_room(
-    lead: &Lead,
+    share: &Owner,
     id: &JobId,
     count: usize,
     slots: &mut [Slot],
     usage: &Usage,
     now: Time,
 ) -> Vec<Stop> {
-    let Some(job) = lead.jobs.get(id) else { return Vec::new() };
+    let Some(job) = share.jobs.get(id) else { return Vec::new() };
     let need = job.need();
-    let guaranteed = limits(&lead.config, &job.spec)
+    let guaranteed = limits(&share.config, &job.spec)
         .is_some_and(|limits| usage.guaranteed(limits, need.cpus, need.gpus));
     let yields = |task: &TaskId, held: &Held| -> bool {
         if held.exited() || held.stop.is_some() || task.job == *id {
@@ -53,8 +53,8 @@
         if held.priority < job.spec.priority {
             return true;
         }
-        let Some(other) = lead.jobs.get(&task.job) else { return false };
-        let Some(theirs) = limits(&lead.config, &other.spec) else { return false };
+        let Some(other) = share.jobs.get(&task.job) else { return false };
+        let Some(theirs) = limits(&share.config, &other.spec) else { return false };
         guaranteed
             && other.spec.team != job.spec.team
             && !usage.guaranteed(theirs, 0.0, 0.0)
@@ -73,8 +73,8 @@
             {
                 continue;
             }
-            let Some(machine) = lead.machines.get(&slot.id) else { continue };
-            if let Some((cost, victims)) = cheapest(lead, machine, slot.later, &need, &yields, now)
+            let Some(machine) = share.machines.get(&slot.id) else { continue };
+            if let Some((cost, victims)) = cheapest(share, machine, slot.later, &need, &yields, now)
                 && best.as_ref().is_none_or(|(least, _, _)| cost < *least)
             {
                 best = Some((cost, index, victims));
@@ -83,7 +83,7 @@
         let Some((_, index, victims)) = best else { break };
         let slot = &mut slots[index];
         for victim in &victims {
-            if let Some(room) = lead.machines[&victim.machine]
+            if let Some(room) = share.machines[&victim.machine]
                 .on
                 .get(&(victim.task.clone(), victim.attempt))
                 .and_then(|held| held.room)
@@ -102,7 +102,7 @@
 
 /// The cheapest set of tasks on a machine whose end makes room, with what it loses.
 fn cheapest(
-    lead: &Lead,
+    share: &Owner,
     machine: &Machine,
     mut later: Room,
     need: &Room,
@@ -112,7 +112,7 @@
     let mut victims: Vec<(Time, Stop, Room)> = Vec::new();
     for ((task, attempt), held) in &machine.on {
         if let (true, Some(room), Some((cost, grace))) =
-            (yields(task, held), held.room, loss(lead, task, held, now))
+            (yields(task, held), held.room, loss(share, task, held, now))
         {
             let stop =
                 Stop { machine: machine.id.clone(), task: task.clone(), attempt: *attempt, grace };
--- /dev/null
+++ b/src/core/rebalance.rs
@@ -0,0 +1,430 @@
+//! Moving machines between shares, renting and returning them. Every 30 s (the default) the leader
+//! moves a machine from the share with the least queued work to the one with the most: an idle one
+//! first, else the one with most free room. What a share wants at once and another can spare does
+//! not wait for that. What nobody can spare is rented; what nobody uses is returned.
+
+use super::io::Io;
+use super::leader::Leader;
+use super::supply::{Catalog, Need, Offer};
+use super::{CloudCall, CloudReply, Time};
+use crate::config::Config;
+use crate::ids::{MachineId, Node, Team, Version};
+use crate::wire::{ListedMachine, MachineNames, MachineState, Rental};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Seconds between rounds of rebalancing.
+const ROUND_S: Time = 30.0;
+/// Names in one release request at most.
+const RELEASE_LIMIT: usize = 100;
+/// Machines in one rental request at most.
+const RENT_LIMIT: u32 = 50;
+/// Machines listed at most.
+const LIST_LIMIT: usize = 10_000;
+/// Machines that take this many times their boot time are given up.
+const LATE_BOOTS: f64 = 3.5;
+
+#[derive(Debug)]
+pub enum CloudWork {
+    List { term: Version, seen: Vec<ListedMachine> },
+    Rent { term: Version, order: RentOrder },
+    Release { term: Version, machines: Vec<MachineId> },
+}
+
+/// A rental, and whom it is for.
+#[derive(Clone, Debug)]
+pub struct RentOrder {
+    rental: Rental,
+    node: Node,
+}
+
+struct Coming {
+    offer: Offer,
+    rented: Time,
+    node: Option<Node>,
+}
+
+/// The leader's dealings with the cloud.
+pub struct CloudDesk {
+    /// Until then what an earlier leader rented may not be listed yet.
+    rent_after: Time,
+    next_list: Time,
+    listing: bool,
+    coming: BTreeMap<MachineId, Coming>,
+    /// Rentals without an outcome; repeated under the same name until they have one.
+    open: Vec<RentOrder>,
+    renting: bool,
+    refused: BTreeMap<Offer, Time>,
+    offers: BTreeMap<MachineId, Offer>,
+    releases: BTreeSet<MachineId>,
+    releasing: bool,
+    /// Their deletion was answered: the map is to lose them.
+    deleted: Vec<MachineId>,
+    counter: u64,
+    next_plan: Time,
+    budget: f64,
+    budget_at: Time,
+    pause_until: Time,
+}
+
+impl CloudDesk {
+    pub fn new(config: &Config, now: Time, fresh: bool) -> Self {
+        let lag = config.deployment.cloud.list_lag_s;
+        Self {
+            rent_after: if fresh { now + lag * 0.3 } else { now + lag * 1.2 },
+            next_list: now,
+            listing: false,
+            coming: BTreeMap::new(),
+            open: Vec::new(),
+            renting: false,
+            refused: BTreeMap::new(),
+            offers: BTreeMap::new(),
+            releases: BTreeSet::new(),
+            releasing: false,
+            deleted: Vec::new(),
+            counter: 0,
+            next_plan: now,
+            budget: 1.0,
+            budget_at: now,
+            pause_until: now,
+        }
+    }
+
+    pub fn refused(&self) -> BTreeSet<Offer> {
+        self.refused.keys().cloned().collect()
+    }
+
+    pub fn offer_of(&self, id: &MachineId) -> Option<&Offer> {
+        self.offers.get(id)
+    }
+
+    /// A machine has come up: for whom was it rented?
+    pub fn arrived(&mut self, id: &MachineId, offer: &Offer) -> Option<Node> {
+        self.offers.insert(id.clone(), offer.clone());
+        self.coming.remove(id).and_then(|coming| coming.node)
+    }
+
+    fn may_call(&mut self, now: Time, rps: f64) -> bool {
+        // Some of the rate is left to other controllers and to what a late request may use.
+        let rate = rps * 0.8;
+        self.budget = (self.budget + (now - self.budget_at) * rate).min(rate.max(1.0));
+        self.budget_at = now;
+        if now < self.pause_until || self.budget < 1.0 {
+            return false;
+        }
+        self.budget -= 1.0;
+        true
+    }
+}
+
+impl Leader {
+    // ---- between shares ----
+
+    pub(super) fn rebalance(&mut self, living: &BTreeMap<Node, u64>, now: Time) {
+        for id in std::mem::take(&mut self.desk.deleted) {
+            self.map.remove_machine(&id);
+            self.desk.offers.remove(&id);
+        }
+        self.serve_wants(living);
+        if now < self.next_round {
+            return;
+        }
+        self.next_round = now + ROUND_S;
+        self.even_teams(living);
+        self.empty_teamless(living);
+        self.move_one(living);
+    }
+
+    /// A controller that came back without teams gets one from whoever has the most; their tasks
+    /// keep running where they are.
+    fn even_teams(&mut self, living: &BTreeMap<Node, u64>) {
+        let most = living.keys().max_by_key(|node| self.teams_of(node)).cloned();
+        let least = living.keys().min_by_key(|node| self.teams_of(node)).cloned();
+        let (Some(most), Some(least)) = (most, least) else { return };
+        if self.teams_of(&most) < self.teams_of(&least) + 2 {
+            return;
+        }
+        let teams = self.map.owners.teams.iter();
+        let team: Option<Team> =
+            teams.filter(|(_, o)| o.node == most).map(|(team, _)| team.clone()).next_back();
+        if let Some(team) = team {
+            tracing::info!("team {team} moves from {most} to {least}");
+            self.give_team(&team, &least, living[&least]);
+        }
+    }
+
+    /// A controller without a team needs no share: its machines go to those that have teams.
+    fn empty_teamless(&mut self, living: &BTreeMap<Node, u64>) {
+        let with: Vec<&Node> = living.keys().filter(|node| self.teams_of(node) > 0).collect();
+        if with.is_empty() {
+            return;
+        }
+        let stranded: Vec<(MachineId, Node)> = self
+            .map
+            .owners
+            .machines
+            .iter()
+            .filter(|(_, o)| living.contains_key(&o.node) && self.teams_of(&o.node) == 0)
+            .map(|(id, owner)| (id.clone(), owner.node.clone()))
+            .collect();
+        for (at, (id, from)) in stranded.into_iter().enumerate() {
+            let to = with[at % with.len()].clone();
+            self.give_machine(&id, &to, living[&to], Some((from.clone(), living[&from])));
+        }
+    }
+
+    /// What one share wants and another can spare moves at once: a change of the design, which
+    /// moves machines in rounds only, made because users wait meanwhile.
+    fn serve_wants(&mut self, living: &BTreeMap<Node, u64>) {
+        let wanting: Vec<Node> = living.keys().cloned().collect();
+        for node in wanting {
+            let Some(need) = self.needs.get(&node) else { continue };
+            let wants = need.wants.clone();
+            for (offer, count) in wants {
+                for _ in 0..count {
+                    let Some((id, from)) = self.spare_of(&offer, &node) else { break };
+                    self.move_machine(&id, &from, &node, living);
+                    if let Some(need) = self.needs.get_mut(&node) {
+                        lower(need, &offer);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A spare machine of exactly this kind in another share.
+    fn spare_of(&self, offer: &Offer, except: &Node) -> Option<(MachineId, Node)> {
+        self.needs.iter().filter(|(node, _)| *node != except).find_map(|(node, need)| {
+            let fits = |id: &&MachineId| {
+                self.desk.offer_of(id) == Some(offer)
+                    && !self.desk.releases.contains(*id)
+                    && self.map.owners.machines.get(*id).is_some_and(|o| o.node == *node)
+            };
+            need.spare.iter().find(fits).map(|id| (id.clone(), node.clone()))
+        })
+    }
+
+    fn move_machine(
+        &mut self,
+        id: &MachineId,
+        from: &Node,
+        to: &Node,
+        living: &BTreeMap<Node, u64>,
+    ) {
+        tracing::info!("{id} moves from {from} to {to}");
+        if let Some(need) = self.needs.get_mut(from) {
+            need.spare.retain(|other| other != id);
+            need.closed.retain(|other| other != id);
+            need.freest.take_if(|other| other == id);
+        }
+        self.give_machine(id, to, living[to], Some((from.clone(), living[from])));
+    }
+
+    /// The round: one machine from where least is queued to where most is.
+    fn move_one(&mut self, living: &BTreeMap<Node, u64>) {
+        let queued = |node: &Node| self.needs.get(node).map(|need| need.queued);
+        let with_teams: Vec<(&Node, f64)> = living
+            .keys()
+            .filter(|node| self.teams_of(node) > 0)
+            .filter_map(|node| queued(node).map(|queued| (node, queued)))
+            .collect();
+        let most = with_teams.iter().max_by(|a, b| a.1.total_cmp(&b.1));
+        let least = with_teams.iter().min_by(|a, b| a.1.total_cmp(&b.1));
+        let (Some((to, most)), Some((from, least))) = (most, least) else { return };
+        if *most <= 0.0 || *least > 0.0 || to == from {
+            return;
+        }
+        let (to, from) = ((*to).clone(), (*from).clone());
+        let Some(need) = self.needs.get(&from) else { return };
+        let owned = |id: &MachineId| {
+            self.map.owners.machines.get(id).is_some_and(|owner| owner.node == from)
+        };
+        let idle = need.spare.iter().find(|id| owned(id));
+        if let Some(id) = idle.or(need.freest.as_ref().filter(|id| owned(id))).cloned() {
+            self.move_machine(&id, &from, &to, living);
+        }
+    }
+
+    // ---- the cloud ----
+
+    pub(super) fn cloud_when_due(
+        &mut self,
+        io: &mut Io,
+        catalog: &Catalog,
+        living: &BTreeMap<Node, u64>,
+    ) {
+        let now = io.now;
+        let rps = self.config.deployment.cloud.rps;
+        let lag = self.config.deployment.cloud.list_lag_s.max(1.0);
+        if now >= self.desk.next_plan && catalog.known() {
+            self.desk.next_plan = now + 1.0;
+            self.plan(catalog, now, living);
+        }
+        let desk = &mut self.desk;
+        if !desk.renting && !desk.open.is_empty() && desk.may_call(now, rps) {
+            let order = desk.open.remove(0);
+            desk.renting = true;
+            let rental = order.rental.clone();
+            io.cloud(Some(CloudWork::Rent { term: self.term, order }), CloudCall::Rent(rental));
+        }
+        if !desk.releasing && !desk.releases.is_empty() && desk.may_call(now, rps) {
+            let machines: Vec<MachineId> =
+                desk.releases.iter().take(RELEASE_LIMIT).cloned().collect();
+            desk.releasing = true;
+            let work = CloudWork::Release { term: self.term, machines: machines.clone() };
+            io.cloud(Some(work), CloudCall::Release(MachineNames { machines }));
+        }
+        if !desk.listing && now >= desk.next_list && desk.may_call(now, rps) {
+            desk.listing = true;
+            desk.next_list = now + io.jitter(lag * 0.5);
+            let work = CloudWork::List { term: self.term, seen: Vec::new() };
+            io.cloud(Some(work), CloudCall::List { after: None });
+        }
+    }
+
+    pub fn cloud_reply(&mut self, io: &mut Io, work: CloudWork, reply: CloudReply) {
+        let now = io.now;
+        if matches!(reply, CloudReply::Refused | CloudReply::Unknown) {
+            self.desk.pause_until = now + io.jitter(1.0 / self.config.deployment.cloud.rps);
+        }
+        match work {
+            CloudWork::List { term, .. }
+            | CloudWork::Rent { term, .. }
+            | CloudWork::Release { term, .. }
+                if term != self.term => {}
+            CloudWork::List { mut seen, .. } => {
+                self.desk.listing = false;
+                let CloudReply::List(page) = reply else { return };
+                let more = page.more && !page.machines.is_empty();
+                seen.extend(page.machines);
+                if more && seen.len() < LIST_LIMIT {
+                    self.desk.listing = true;
+                    let after = seen.last().map(|listed| listed.machine.to_string());
+                    let work = CloudWork::List { term: self.term, seen };
+                    io.cloud(Some(work), CloudCall::List { after });
+                } else {
+                    self.take_list(seen, now);
+                }
+            }
+            CloudWork::Rent { order, .. } => {
+                self.desk.renting = false;
+                self.rented(order, reply, now);
+            }
+            CloudWork::Release { machines, .. } => {
+                self.desk.releasing = false;
+                if reply == CloudReply::Released {
+                    tracing::info!("returned {} machines", machines.len());
+                    for id in machines {
+                        self.desk.releases.remove(&id);
+                        self.desk.coming.remove(&id);
+                        self.desk.deleted.push(id);
+                    }
+                }
+            }
+        }
+    }
+
+    fn rented(&mut self, order: RentOrder, reply: CloudReply, now: Time) {
+        let rental = &order.rental;
+        let offer = (rental.type_name.clone(), rental.zone.clone(), rental.spot);
+        // Capacity comes back as others return machines: asked again after a while.
+        let again = now + self.config.deployment.cloud.list_lag_s.max(1.0);
+        match reply {
+            CloudReply::Rented(names) => {
+                let spot = if rental.spot { ", spot" } else { "" };
+                let (got, asked) = (names.machines.len(), rental.count);
+                let (type_name, zone) = (&rental.type_name, &rental.zone);
+                tracing::info!("rented {got} of {asked} {type_name} in {zone}{spot}");
+                if (got as u32) < asked {
+                    self.desk.refused.insert(offer.clone(), again);
+                }
+                for id in names.machines {
+                    let node = Some(order.node.clone());
+                    let coming = Coming { offer: offer.clone(), rented: now, node };
+                    self.desk.coming.insert(id, coming);
+                }
+            }
+            CloudReply::NoCapacity => {
+                self.desk.refused.insert(offer, again);
+            }
+            // Not executed: what is needed is planned anew.
+            CloudReply::Refused => {}
+            // Executed or not: the same name again has the same outcome.
+            _ => self.desk.open.push(order),
+        }
+    }
+
+    fn take_list(&mut self, list: Vec<ListedMachine>, now: Time) {
+        for listed in list {
+            let id = listed.machine;
+            let offer = (listed.type_name, listed.zone, listed.spot);
+            if listed.state == MachineState::Failed {
+                self.desk.releases.insert(id);
+            } else if listed.state == MachineState::Booting
+                && !self.map.owners.machines.contains_key(&id)
+            {
+                let rented = now - listed.age_s;
+                let fresh = Coming { offer, rented, node: None };
+                self.desk.coming.entry(id).or_insert(fresh);
+            } else {
+                self.desk.offers.insert(id, offer);
+            }
+        }
+    }
+
+    fn plan(&mut self, catalog: &Catalog, now: Time, living: &BTreeMap<Node, u64>) {
+        self.desk.refused.retain(|_, until| now < *until);
+        for (id, coming) in &self.desk.coming {
+            let late = now - coming.rented > catalog.boot_s(&coming.offer.0) * LATE_BOOTS;
+            if late && self.desk.releases.insert(id.clone()) {
+                tracing::info!("{id} does not come up and is returned");
+            }
+        }
+        let needs = self.needs.values();
+        let returned = needs.flat_map(|need| need.closed.iter().chain(&need.silent).cloned());
+        self.desk.releases.extend(returned.collect::<Vec<_>>());
+        if now < self.desk.rent_after || self.desk.renting || !self.desk.open.is_empty() {
+            return;
+        }
+        // Machines on their way that were rented for nobody serve whoever wants them first.
+        let mut unclaimed = self.desk.coming.values().filter(|c| c.node.is_none()).count() as u32;
+        for node in living.keys() {
+            let Some(need) = self.needs.get(node) else { continue };
+            let for_node = |c: &&Coming| c.node.as_ref() == Some(node);
+            let mut coming: BTreeMap<&Offer, u32> = BTreeMap::new();
+            for c in self.desk.coming.values().filter(for_node) {
+                *coming.entry(&c.offer).or_default() += 1;
+            }
+            let mut lacks: Vec<(Offer, u32)> = Vec::new();
+            for (offer, count) in &need.wants {
+                let of_kind = coming.remove(offer).unwrap_or(0);
+                // What comes beyond this kind serves the other kinds wanted.
+                if of_kind > *count {
+                    unclaimed += of_kind - count;
+                }
+                lacks.push((offer.clone(), count.saturating_sub(of_kind)));
+            }
+            unclaimed += coming.values().sum::<u32>();
+            for (offer, count) in lacks {
+                let served = count.min(unclaimed);
+                unclaimed -= served;
+                let count = (count - served).min(RENT_LIMIT);
+                if count == 0 || self.desk.refused.contains_key(&offer) {
+                    continue;
+                }
+                self.desk.counter += 1;
+                let request = format!("r-{}-{}", self.term, self.desk.counter);
+                let (type_name, zone, spot) = offer;
+                let rental = Rental { request, type_name, zone, spot, count };
+                self.desk.open.push(RentOrder { rental, node: node.clone() });
+            }
+        }
+    }
+}
+
+fn lower(need: &mut Need, offer: &Offer) {
+    for (wanted, count) in &mut need.wants {
+        if wanted == offer {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -2,7 +2,7 @@
 
 use super::Time;
 use super::jobs::Job;
-use super::lead::Lead;
+use super::owner::Owner;
 use super::placement::{Candidate, Room, best_fit};
 use super::preempt;
 use crate::config::{Config, TeamLimits};
@@ -57,7 +57,7 @@
     config.deployment.teams.iter().find(|team| team.name == spec.team)
 }
 
-impl Lead {
+impl Owner {
     pub(super) fn slots(&self, now: Time) -> Vec<Slot> {
         let usable = self.machines.values().filter(|m| m.usable(now));
         usable
@@ -130,7 +130,7 @@
             let chosen = self.choose(job, wanted.len(), &slots, now, whole);
             let missing = wanted.len() - chosen.len();
             if !chosen.is_empty() {
-                let attempt = self.next_attempt();
+                let Some(attempt) = self.next_attempt(&limits.name) else { continue };
                 for (index, slot) in wanted.iter().zip(&chosen) {
                     let slot = &mut slots[*slot];
                     slot.free = slot.free.less(&need);
@@ -262,10 +262,9 @@
         for machine in self.machines.values() {
             let Some(leaves) = machine.leaves else { continue };
             for ((task, attempt), held) in &machine.on {
-                let Some(job) = self.jobs.get(&task.job) else { continue };
-                let save = if job.spec.checkpoint_s > 0.0 { job.spec.save_s } else { 0.0 };
-                if held.stop.is_none() && !held.exited() && leaves - now <= save * 1.1 + margin {
-                    let grace = if leaves - now > save { save } else { 0.0 };
+                let due = leaves - now <= held.save_s * 1.1 + margin;
+                if held.stop.is_none() && !held.exited() && due {
+                    let grace = if leaves - now > held.save_s { held.save_s } else { 0.0 };
                     stops.push((machine.id.clone(), task.clone(), *attempt, grace));
                 }
             }
--- /dev/null
+++ b/src/core/tracking.rs
@@ -0,0 +1,461 @@
+//! What machines tell, and what they are told.
+//!
+//! A task counts as possibly on a machine from the moment its start is issued until it is seen
+//! ended or the machine is known empty. A machine is known empty when its session has risen, its
+//! deletion was answered, or its lease must have run out since its last answered report.
+
+use super::authority::DRIFT;
+use super::io::Io;
+use super::jobs::Task;
+use super::machines::{Freshness, Held, Phase};
+use super::owner::{Owner, describe};
+use super::placement::Room;
+use super::supply::Catalog;
+use super::view::View;
+use super::{Answer, Body, Time, WorkerReply};
+use crate::ids::{Attempt, JobId, MachineId, TaskId};
+use crate::wire::{DirectOrders, Exit, Kind, Report, ReportAnswer, ReportedTask, TaskState};
+use std::collections::BTreeSet;
+
+/// Reports that may fail to show a task whose start was in their answers.
+const PATIENCE: u32 = 3;
+/// Leases for which a machine that fails every job is set aside.
+const ASIDE_LEASES: f64 = 20.0;
+
+impl Owner {
+    /// How long after its last answered report a machine may still have its tasks.
+    fn lease(&self) -> Time {
+        let workers = &self.config.deployment.workers;
+        workers.lease_s * (1.0 + DRIFT) + workers.report_s * 0.1
+    }
+
+    /// Answers the report of a worker on one of our machines; None if it is not ours.
+    pub fn checkin(
+        &mut self,
+        io: &mut Io,
+        view: &View,
+        catalog: &Catalog,
+        report: Report,
+    ) -> Option<Answer> {
+        let now = io.now;
+        let id = report.machine.clone();
+        let machine = self.machines.get_mut(&id).filter(|machine| machine.mine)?;
+        if machine.total == Room::default() || machine.address != report.address {
+            machine.describe(&report, catalog.types());
+        }
+        if report.token > machine.token {
+            // Somebody with a later term is in charge; the map will tell.
+            return Some(Answer::unavailable());
+        }
+        match machine.freshness(&report, false) {
+            Freshness::Copy => return Some(Answer::unavailable()),
+            Freshness::Overtaken => {}
+            Freshness::News { new_session } => {
+                self.take_report(io, view, report, new_session, true);
+            }
+        }
+        let machine = self.machines.get_mut(&id)?;
+        machine.answered = now;
+        machine.empty = false;
+        // Until the machine has shown its token it gets that and no commands.
+        let orders = if machine.trusted { machine.orders() } else { Vec::new() };
+        for held in machine.on.values_mut().filter(|h| h.phase == Phase::Issued) {
+            held.in_answer |= machine.trusted && held.stop.is_none();
+        }
+        let answer = ReportAnswer { token: machine.token, orders };
+        Some(Answer { status: 200, body: Body::Orders(answer), retry_after: None })
+    }
+
+    /// Takes up what a newer message of a machine says.
+    fn take_report(
+        &mut self,
+        io: &mut Io,
+        view: &View,
+        report: Report,
+        new_session: bool,
+        checkin: bool,
+    ) {
+        let now = io.now;
+        let id = report.machine.clone();
+        let Some(machine) = self.machines.get_mut(&id) else { return };
+        if new_session {
+            // The earlier session's tasks are gone, and nothing sent in it will be executed. If
+            // its lease ran out, answers may not reach it: it has to show a fresh token.
+            let gone: Vec<_> = machine.on.keys().cloned().collect();
+            machine.raise |= machine.trusted;
+            machine.trusted = false;
+            if !gone.is_empty() {
+                tracing::info!("{id}: new session, {} tasks gone", gone.len());
+            }
+            for (task, attempt) in gone {
+                self.drop_held(&id, &task, attempt, now);
+            }
+        }
+        let Some(machine) = self.machines.get_mut(&id) else { return };
+        machine.leaves = report.notice_s.map(|left| now + left);
+        self.changed |= machine.leaves.is_some();
+        if report.token != machine.token {
+            return;
+        }
+        let newly_trusted = !std::mem::replace(&mut machine.trusted, true);
+        if newly_trusted {
+            machine.idle_since = now;
+            machine.forget_images();
+            self.hurry = true;
+            self.changed = true;
+        }
+        machine.suspect = false;
+        machine.former = None;
+        let mut shown = BTreeSet::new();
+        for reported in &report.tasks {
+            if let Some(task) = TaskId::parse(&reported.task) {
+                shown.insert((task.clone(), reported.attempt));
+                self.take_task(io, view, &id, task, reported);
+            }
+        }
+        self.take_missing(&id, &shown, checkin, now);
+    }
+
+    /// What the machine does not show (any more).
+    fn take_missing(
+        &mut self,
+        id: &MachineId,
+        shown: &BTreeSet<(TaskId, Attempt)>,
+        checkin: bool,
+        now: Time,
+    ) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let token = machine.token;
+        let mut gone = Vec::new();
+        let mut deaf = false;
+        for (key, held) in &mut machine.on {
+            // The machine has shown a later token: what was sent under an earlier is void.
+            held.may_arrive = held.may_arrive.filter(|sent| *sent >= token);
+            if shown.contains(key) {
+                continue;
+            }
+            match held.phase {
+                Phase::Seen(_) | Phase::Exited(_) => gone.push(key.clone()),
+                Phase::Issued if checkin && !held.direct_out => {
+                    held.misses += 1;
+                    if held.misses >= if held.stop.is_some() { 1 } else { PATIENCE } {
+                        match held.may_arrive {
+                            None => gone.push(key.clone()),
+                            Some(_) => deaf = true,
+                        }
+                    }
+                }
+                Phase::Issued => {}
+            }
+        }
+        machine.raise |= deaf;
+        machine.suspect |= gone.iter().any(|key| machine.on[key].phase == Phase::Issued);
+        for (task, attempt) in gone {
+            self.drop_held(id, &task, attempt, now);
+        }
+    }
+
+    /// One task as its machine shows it.
+    pub(super) fn take_task(
+        &mut self,
+        io: &mut Io,
+        view: &View,
+        id: &MachineId,
+        task: TaskId,
+        reported: &ReportedTask,
+    ) {
+        let now = io.now;
+        let attempt = reported.attempt;
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let stored = view.job(&task.job).map(|stored| &stored.record);
+        let phase = match reported.state {
+            TaskState::Exited => Phase::Exited(reported.why.unwrap_or(Exit::Other)),
+            state => Phase::Seen(state),
+        };
+        let held = machine.on.entry((task.clone(), attempt)).or_insert_with(|| {
+            let mut held = Held::new(now);
+            if let Some(spec) = stored.and_then(|record| record.spec.as_ref()) {
+                describe(&mut held, spec);
+            }
+            held
+        });
+        let news = std::mem::replace(&mut held.phase, phase.clone()) != phase;
+        if held.has_image() && held.began.is_none() {
+            held.began = Some(now);
+            if let Some((image, gb)) = held.image.clone() {
+                machine.used_image(&image, gb);
+            }
+        }
+        self.changed |= news;
+        let Some(held) = machine.on.get_mut(&(task.clone(), attempt)) else { return };
+        let over = stored.is_some_and(|record| record.is_final());
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            // An accepted job that is over is stopped and forgotten. One of another owner's team
+            // is that owner's; one that is not known yet will be.
+            held.forget |= over;
+            if over && !held.exited() && held.stop != Some(0.0) {
+                held.stop = Some(0.0);
+                self.push.insert(id.clone());
+            }
+            self.hurry |= news && !over;
+            return;
+        };
+        let here = Task::Placed(id.clone(), attempt);
+        match job.task(task.index) {
+            Some(Task::Unsettled | Task::Waiting) if !held.exited() => {
+                job.set(task.index, here, Some(&machine.zone));
+                job.began = true;
+            }
+            // Another attempt of it is meant to run elsewhere, or none is needed any more.
+            Some(meant) if *meant != here && !held.exited() && held.stop != Some(0.0) => {
+                tracing::info!("{task}: attempt {} on {id} is one too many", attempt.0);
+                held.stop = Some(0.0);
+                self.push.insert(id.clone());
+            }
+            _ => {}
+        }
+        job.began |= held.began.is_some();
+        if news && let Phase::Exited(why) = phase {
+            self.task_exited(id, &task, attempt, why, now);
+        }
+    }
+
+    pub(super) fn task_exited(
+        &mut self,
+        id: &MachineId,
+        task: &TaskId,
+        attempt: Attempt,
+        why: Exit,
+        now: Time,
+    ) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        if machine.idle() {
+            machine.idle_since = now;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let zone = machine.zone.clone();
+        let Some(held) = machine.on.get_mut(&(task.clone(), attempt)) else { return };
+        let here = job.task(task.index) == Some(&Task::Placed(id.clone(), attempt));
+        let zone = here.then_some(&zone);
+        if why == Exit::Done && job.spec.kind != Kind::Service {
+            // Its exit may be forgotten only once it is recorded.
+            job.set(task.index, Task::Done, zone);
+            job.dirty.get_or_insert(now);
+            if job.is_gang() {
+                self.gang_done(&task.job);
+            }
+            return;
+        }
+        held.forget = true;
+        if !here {
+            return;
+        }
+        job.set(task.index, Task::Waiting, zone);
+        let retry = job.retries.entry(task.index).or_default();
+        match why {
+            Exit::Error | Exit::Other => {
+                retry.failures += 1;
+                retry.not_before = now + 2f64.powi(retry.failures.min(5) as i32 - 1);
+                job.failed_on.insert(id.clone());
+                machine.failed_jobs.insert(task.job.clone());
+                tracing::info!("{task} failed on {id} ({} times)", retry.failures);
+                self.judge_machine(id, now);
+            }
+            Exit::NoRoom | Exit::Busy | Exit::UnknownJob => {
+                retry.not_before = now + self.config.deployment.workers.report_s * 0.5;
+            }
+            Exit::Stopped | Exit::PeersGone | Exit::Alone | Exit::Done => {}
+        }
+        self.gang_lost_one(&task.job, attempt);
+    }
+
+    /// A machine that failed several jobs which failed nowhere else is set aside. A job that was
+    /// submitted with a mistake fails everywhere and says nothing of machines.
+    fn judge_machine(&mut self, id: &MachineId, now: Time) {
+        let jobs = &self.jobs;
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        machine.failed_jobs.retain(|job| jobs.contains_key(job));
+        let here_only = |job: &&JobId| jobs.get(*job).is_some_and(|j| j.failed_on.len() == 1);
+        if machine.failed_jobs.iter().filter(here_only).count() >= 2 {
+            tracing::info!("{id} is set aside: tasks of several jobs fail on it alone");
+            machine.aside_until = now + self.config.deployment.workers.lease_s * ASIDE_LEASES;
+        }
+    }
+
+    /// An attempt is known not to be on the machine (any more).
+    pub(super) fn drop_held(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt, now: Time) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        if machine.on.remove(&(task.clone(), attempt)).is_none() {
+            return;
+        }
+        if machine.idle() {
+            machine.idle_since = now;
+        }
+        self.changed = true;
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && job.task(task.index) == Some(&Task::Placed(id.clone(), attempt))
+        {
+            job.set(task.index, Task::Waiting, Some(&machine.zone));
+            self.gang_lost_one(&task.job, attempt);
+        }
+    }
+
+    /// Machines whose lease must have run out are empty.
+    pub(super) fn expire_machines(&mut self, now: Time) {
+        let lease = self.lease();
+        let ours = self.machines.values().filter(|m| m.mine && !m.empty && m.former.is_none());
+        let expired: Vec<MachineId> =
+            ours.filter(|m| now > m.answered + lease).map(|m| m.id.clone()).collect();
+        for id in expired {
+            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            let gone: Vec<_> = machine.on.keys().cloned().collect();
+            tracing::info!("{id} is silent; {} tasks on it are gone", gone.len());
+            machine.end_session();
+            self.hurry = true;
+            for (task, attempt) in gone {
+                self.drop_held(&id, &task, attempt, now);
+            }
+        }
+    }
+
+    /// The cloud has deleted the machine.
+    pub(super) fn remove_machine(&mut self, id: &MachineId, now: Time) {
+        let Some(machine) = self.machines.get(id) else { return };
+        let gone: Vec<_> = machine.on.keys().cloned().collect();
+        for (task, attempt) in gone {
+            self.drop_held(id, &task, attempt, now);
+        }
+        self.machines.remove(id);
+        self.changed = true;
+    }
+
+    // ---- orders ----
+
+    /// Issues the start of a task.
+    pub(super) fn start(
+        &mut self,
+        id: &JobId,
+        index: u32,
+        machine: &MachineId,
+        attempt: Attempt,
+        now: Time,
+    ) {
+        let (Some(job), Some(machine)) = (self.jobs.get_mut(id), self.machines.get_mut(machine))
+        else {
+            return;
+        };
+        let mut held = Held::new(now);
+        describe(&mut held, &job.spec);
+        job.set(index, Task::Placed(machine.id.clone(), attempt), Some(&machine.zone));
+        let task = TaskId { job: id.clone(), index };
+        tracing::debug!("start {task} on {} as {}", machine.id, attempt.0);
+        machine.on.insert((task, attempt), held);
+        self.push.insert(machine.id.clone());
+    }
+
+    /// Tells an attempt to stop; gangs are stopped whole.
+    pub(super) fn stop(
+        &mut self,
+        machine: &MachineId,
+        task: &TaskId,
+        attempt: Attempt,
+        grace: f64,
+    ) {
+        let mut targets = vec![(machine.clone(), task.clone())];
+        if let Some(job) = self.jobs.get(&task.job).filter(|job| job.is_gang()) {
+            for index in 0..job.spec.tasks {
+                if let Some(Task::Placed(other, same)) = job.task(index)
+                    && *same == attempt
+                    && index != task.index
+                {
+                    targets.push((other.clone(), TaskId { job: task.job.clone(), index }));
+                }
+            }
+        }
+        for (machine, task) in targets {
+            if let Some(machine) = self.machines.get_mut(&machine)
+                && let Some(held) = machine.on.get_mut(&(task, attempt))
+                && held.stop.is_none()
+                && !held.exited()
+            {
+                held.stop = Some(grace);
+                self.push.insert(machine.id.clone());
+            }
+        }
+    }
+
+    pub(super) fn push_orders(&mut self, io: &mut Io) {
+        for id in std::mem::take(&mut self.push) {
+            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            if !machine.mine {
+                self.hurry = true;
+                continue;
+            }
+            if !machine.trusted || machine.suspect || machine.raise {
+                continue;
+            }
+            let orders = machine.orders();
+            if orders.is_empty() {
+                continue;
+            }
+            let mut sent = Vec::new();
+            for (key, held) in &mut machine.on {
+                if held.phase == Phase::Issued && held.stop.is_none() {
+                    held.direct_out = true;
+                    sent.push(key.clone());
+                }
+            }
+            let message = DirectOrders { token: machine.token, session: machine.session, orders };
+            io.worker(&id, &machine.address, sent, message);
+        }
+    }
+
+    pub fn orders_answered(
+        &mut self,
+        io: &mut Io,
+        view: &View,
+        id: &MachineId,
+        sent: &[(TaskId, Attempt)],
+        reply: WorkerReply,
+    ) {
+        let now = io.now;
+        // Of a machine that has changed hands meanwhile its new owner tells.
+        let Some(machine) = self.machines.get_mut(id).filter(|machine| machine.mine) else {
+            return;
+        };
+        let token = machine.token;
+        for key in sent {
+            if let Some(held) = machine.on.get_mut(key) {
+                held.direct_out = false;
+                if reply == WorkerReply::Unknown {
+                    held.may_arrive = Some(token);
+                }
+            }
+        }
+        match reply {
+            WorkerReply::Executed(report) | WorkerReply::Fenced(report) => {
+                if report.machine != *id || report.token > token {
+                    return;
+                }
+                if let Freshness::News { new_session } = machine.freshness(&report, true) {
+                    self.take_report(io, view, report, new_session, false);
+                }
+            }
+            WorkerReply::NotSent => {
+                machine.suspect = true;
+                let unsent = |held: &Held| {
+                    held.phase == Phase::Issued && !held.in_answer && held.may_arrive.is_none()
+                };
+                let never_sent: Vec<_> = sent
+                    .iter()
+                    .filter(|key| machine.on.get(*key).is_some_and(unsent))
+                    .cloned()
+                    .collect();
+                for (task, attempt) in never_sent {
+                    self.drop_held(id, &task, attempt, now);
+                }
+            }
+            WorkerReply::Unknown => machine.suspect = true,
+        }
+    }
+}
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -4,11 +4,11 @@
 //! and one sync serves every question that waits.
 
 use super::io::Pending;
-use super::part_map::MapChunk;
+use super::part_map::{MapChunk, Owners};
 use super::ranges::Ranges;
 use super::{Core, StateCall, StateReply, Time};
 use crate::config::Config;
-use crate::ids::{JobId, Node, Term, Version};
+use crate::ids::{JobId, Node, Version};
 use crate::wire::{Change, Guard, JobSpec, Stance, Write};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -18,13 +18,14 @@
 /// All keys of the service start with this.
 pub const ROOT: &str = "ochredrum/";
 pub const LEADER_KEY: &str = "ochredrum/leader";
-/// Who acted as leader last; unlike the leader's key it outlives the leader's lease.
-pub const ACTING_KEY: &str = "ochredrum/acting";
-/// Written to obtain a fresh term.
-pub const TERM_KEY: &str = "ochredrum/term";
+const NODE_PREFIX: &str = "ochredrum/node/";
 pub const MAP_PREFIX: &str = "ochredrum/map/";
 const JOB_PREFIX: &str = "ochredrum/job/";
 
+pub fn node_key(node: &Node) -> String {
+    format!("{NODE_PREFIX}{node}")
+}
+
 pub fn job_key(job: &JobId) -> String {
     format!("{JOB_PREFIX}{job}")
 }
@@ -57,15 +58,12 @@
     }
 }
 
+/// A controller's process, as its own key and the leader's key name it. Both hang on its lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaderRecord {
+pub struct ProcessRecord {
     pub node: Node,
     pub incarnation: u64,
-    #[serde(default)]
     pub lease: u64,
-    /// In the acting key: the term it acted under.
-    #[serde(default)]
-    pub term: Term,
 }
 
 #[derive(Clone, Debug)]
@@ -76,13 +74,16 @@
 
 pub struct View {
     jobs: BTreeMap<JobId, Versioned<Rc<JobRecord>>>,
-    leader: Option<Versioned<LeaderRecord>>,
-    acting: Option<Versioned<LeaderRecord>>,
+    leader: Option<Versioned<ProcessRecord>>,
+    nodes: BTreeMap<Node, Versioned<ProcessRecord>>,
     map: BTreeMap<String, Versioned<MapChunk>>,
+    owners: Owners,
+    /// Rises with every change of the map.
+    map_changes: u64,
     /// Jobs whose records changed since the leader last looked.
     changed: BTreeSet<JobId>,
     revision: Version,
-    /// Newest removal of a leader or map key, so that an older put cannot bring it back.
+    /// Newest removal of any other key than a job's, so that an older put cannot bring it back.
     removed: BTreeMap<String, Version>,
     listing: Option<Relisting>,
     complete: bool,
@@ -113,8 +114,10 @@
         Self {
             jobs: BTreeMap::new(),
             leader: None,
-            acting: None,
+            nodes: BTreeMap::new(),
             map: BTreeMap::new(),
+            owners: Owners::default(),
+            map_changes: 0,
             changed: BTreeSet::new(),
             revision: 0,
             removed: BTreeMap::new(),
@@ -147,20 +150,40 @@
         self.jobs.get(id)
     }
 
-    pub fn leader(&self) -> Option<&Versioned<LeaderRecord>> {
+    pub fn leader(&self) -> Option<&Versioned<ProcessRecord>> {
         self.leader.as_ref()
     }
 
-    pub fn acting(&self) -> Option<&Versioned<LeaderRecord>> {
-        self.acting.as_ref()
+    pub fn node(&self, node: &Node) -> Option<&Versioned<ProcessRecord>> {
+        self.nodes.get(node)
+    }
+
+    pub fn nodes(&self) -> &BTreeMap<Node, Versioned<ProcessRecord>> {
+        &self.nodes
     }
 
     pub fn map(&self) -> &BTreeMap<String, Versioned<MapChunk>> {
         &self.map
     }
 
+    pub fn owners(&self) -> &Owners {
+        &self.owners
+    }
+
+    pub fn map_changes(&self) -> u64 {
+        self.map_changes
+    }
+
+    /// Jobs whose records changed, as far as the view is current. One of our own writes may be
+    /// newer than that, and the map may have changed before it: such a job has to wait, or its
+    /// team's former owner could start it beside the new one.
     pub fn take_changed(&mut self) -> BTreeSet<JobId> {
-        std::mem::take(&mut self.changed)
+        let (jobs, revision) = (&self.jobs, self.revision);
+        let early = |id: &JobId| jobs.get(id).is_some_and(|job| job.version > revision);
+        let changed = std::mem::take(&mut self.changed);
+        let (wait, changed) = changed.into_iter().partition(early);
+        self.changed = wait;
+        changed
     }
 
     pub fn state_answered(&mut self, now: Time) {
@@ -212,23 +235,35 @@
         }
         if key == LEADER_KEY {
             put_newer(&mut self.leader, value, version);
-        } else if key == ACTING_KEY {
-            put_newer(&mut self.acting, value, version);
+        } else if let Some(node) = key.strip_prefix(NODE_PREFIX) {
+            let node = Node::from(node);
+            let mut slot = self.nodes.remove(&node);
+            put_newer(&mut slot, value, version);
+            if let Some(record) = slot {
+                self.nodes.insert(node, record);
+            }
         } else if key.starts_with(MAP_PREFIX) {
             let mut slot = self.map.remove(key);
             put_newer(&mut slot, value, version);
             if let Some(chunk) = slot {
                 self.map.insert(key.to_owned(), chunk);
             }
+            self.map_changed();
         }
     }
 
     fn remove(&mut self, key: &str, version: Version) {
         if key == LEADER_KEY {
             self.leader.take_if(|known| known.version <= version);
+        } else if let Some(node) = key.strip_prefix(NODE_PREFIX) {
+            let node = Node::from(node);
+            if self.nodes.get(&node).is_some_and(|known| known.version <= version) {
+                self.nodes.remove(&node);
+            }
         } else if key.starts_with(MAP_PREFIX) {
             if self.map.get(key).is_some_and(|known| known.version <= version) {
                 self.map.remove(key);
+                self.map_changed();
             }
         } else {
             return;
@@ -236,13 +271,17 @@
         self.removed.insert(key.to_owned(), version);
     }
 
+    fn map_changed(&mut self) {
+        self.map_changes += 1;
+        self.owners = Owners::read(self.map.values().map(|chunk| &chunk.record));
+    }
+
     /// After a full read: what was not in it is gone, unless it was written since.
     fn remove_unlisted(&mut self, listed: &BTreeSet<String>, revision: Version) {
-        let mut gone: Vec<String> =
-            self.map.keys().filter(|key| !listed.contains(*key)).cloned().collect();
-        if !listed.contains(LEADER_KEY) {
-            gone.push(LEADER_KEY.to_owned());
-        }
+        let mut gone: Vec<String> = self.map.keys().cloned().collect();
+        gone.push(LEADER_KEY.to_owned());
+        gone.extend(self.nodes.keys().map(node_key));
+        gone.retain(|key| !listed.contains(key));
         for key in gone {
             self.remove(&key, revision);
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -122,6 +122,10 @@
 }
 
 fn play(text: &str) -> World {
+    if std::env::var_os("SCENARIO_LOG").is_some() {
+        let debug = tracing_subscriber::fmt().with_max_level(tracing::Level::DEBUG);
+        debug.without_time().with_ansi(false).try_init().ok();
+    }
     let lines: Vec<Vec<&str>> = text
         .lines()
         .map(|line| line.split('#').next().unwrap_or("").split_whitespace().collect())
