--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -151,6 +151,15 @@
         self.spec.kind == Kind::Gang
     }
 
+    /// Attempts that may be running.
+    pub fn attempts(&self) -> BTreeSet<Attempt> {
+        let placed = |task: &Task| match task {
+            Task::Placed(_, attempt) => Some(*attempt),
+            _ => None,
+        };
+        self.tasks.iter().filter_map(placed).collect()
+    }
+
     pub fn placed(&self) -> u32 {
         self.spec.tasks - self.done.len() - self.waiting.len() as u32 - self.unsettled
     }
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -165,14 +165,14 @@
                 Some(machine) if machine.mine != mine || machine.token != owner.term => {
                     machine.change_hands(owner.term, mine, now);
                     machine.former = owner.former.clone().filter(|_| mine);
-                    machine.gained = view.revision();
+                    machine.gained = view.map_revision();
                     self.changed = true;
                 }
                 None if mine => {
                     let mut machine = Machine::named(id.clone(), owner.term, now);
                     machine.mine = true;
                     machine.former = owner.former.clone();
-                    machine.gained = view.revision();
+                    machine.gained = view.map_revision();
                     self.machines.insert(id.clone(), machine);
                 }
                 _ => {}
@@ -219,7 +219,7 @@
     fn gain_team(&mut self, io: &mut Io, view: &View, team: Team, term: Term) {
         tracing::info!("team {team} is ours under term {}", term.0);
         let unsettled = view.owners().machines.keys().cloned().collect();
-        let owned = OwnedTeam { term, gained: view.revision(), unsettled, attempts: 0 };
+        let owned = OwnedTeam { term, gained: view.map_revision(), unsettled, attempts: 0 };
         self.teams.insert(team.clone(), owned);
         self.settle_when_known(view);
         let of_team = |record: &JobRecord| record.spec.as_ref().is_some_and(|s| s.team == team);
@@ -244,10 +244,21 @@
                 }
             }
         }
-        for job in self.jobs.values_mut().filter(|job| job.unsettled() > 0) {
+        let mut torn = Vec::new();
+        for (id, job) in self.jobs.iter_mut().filter(|(_, job)| job.unsettled() > 0) {
             if self.teams.get(&job.spec.team).is_some_and(|team| team.unsettled.is_empty()) {
                 job.settle();
                 self.changed = true;
+                if job.is_gang() && job.placed() > 0 && !job.waiting().is_empty() {
+                    torn.push(id.clone());
+                }
+            }
+        }
+        // Part of a gang was lost between two owners: the rest cannot go on.
+        for id in torn {
+            let attempts: BTreeSet<Attempt> = self.jobs[&id].attempts();
+            for attempt in attempts {
+                self.gang_lost_one(&id, attempt);
             }
         }
     }
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -170,6 +170,13 @@
         &self.owners
     }
 
+    /// A revision at which everybody has seen the map as it is here. One of our own writes to it
+    /// may be newer than the last sync.
+    pub fn map_revision(&self) -> Version {
+        let newest = self.map.values().map(|chunk| chunk.version).max();
+        newest.unwrap_or(0).max(self.revision)
+    }
+
     pub fn map_changes(&self) -> u64 {
         self.map_changes
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -30,6 +30,7 @@
 pub const NODES: usize = 3;
 pub const REPORT_S: f64 = 1.0;
 pub const LEASE_S: f64 = 10.0;
+pub const GANG_WAIT_S: f64 = 30.0;
 pub const GANG_PEER_S: f64 = 4.0;
 pub const CANCEL_S: f64 = 30.0;
 pub const GPUS_MAX: f64 = 24.0;
@@ -71,7 +72,7 @@
 [deployment.workers]
 report_s = {REPORT_S}
 lease_s = {LEASE_S}
-gang_wait_s = 30.0
+gang_wait_s = {GANG_WAIT_S}
 gang_peer_s = {GANG_PEER_S}
 cancel_s = {CANCEL_S}
 [deployment.state]
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -2,7 +2,7 @@
 
 use super::cloud::{CPUS, FETCH, GPUS, MEMORY_GB};
 use super::faults::Who;
-use super::{Event, GANG_PEER_S, GPUS_MAX, LEASE_S, NODES, REPORT_S, World};
+use super::{Event, GANG_PEER_S, GANG_WAIT_S, GPUS_MAX, LEASE_S, NODES, REPORT_S, World};
 use ochredrum::core::{Answer, Body, CallId, Input, WorkerReply};
 use ochredrum::ids::{Attempt, JobId, MachineId, TaskId, Term};
 use ochredrum::wire::{DirectOrders, Exit, Kind, Order, Report, ReportedTask, TaskState};
@@ -343,6 +343,12 @@
                 }
                 TaskState::Waiting => {
                     if spec.kind == Kind::Gang && !self.gang_complete(&task, attempt, spec.tasks) {
+                        if let Some(worker) = self.workers.get_mut(id)
+                            && let Some(running) = worker.tasks.get_mut(&(task.clone(), attempt))
+                            && now > running.until + GANG_WAIT_S
+                        {
+                            exit(running, Exit::Alone);
+                        }
                         continue;
                     }
                     if let Some(worker) = self.workers.get_mut(id)
