--- a/src/core/rebalance.rs
+++ b/src/core/rebalance.rs
@@ -5,7 +5,7 @@
 
 use super::io::Io;
 use super::leader::Leader;
-use super::supply::{Catalog, Need, Offer};
+use super::supply::{Catalog, Offer, Want};
 use super::{CloudCall, CloudReply, Time};
 use crate::config::Config;
 use crate::ids::{MachineId, Node, Team, Version};
@@ -177,30 +177,33 @@
     fn serve_wants(&mut self, living: &BTreeMap<Node, u64>) {
         let wanting: Vec<Node> = living.keys().cloned().collect();
         for node in wanting {
-            let Some(need) = self.needs.get(&node) else { continue };
-            let wants = need.wants.clone();
-            for (offer, count) in wants {
-                for _ in 0..count {
-                    let Some((id, from)) = self.spare_of(&offer, &node) else { break };
-                    self.move_machine(&id, &from, &node, living);
-                    if let Some(need) = self.needs.get_mut(&node) {
-                        lower(need, &offer);
-                    }
+            let Some(need) = self.needs.get_mut(&node) else { continue };
+            let mut open = Vec::new();
+            for want in std::mem::take(&mut need.wants) {
+                match self.spare_for(&want, &node) {
+                    Some((id, from)) => self.move_machine(&id, &from, &node, living),
+                    None => open.push(want),
                 }
             }
+            if let Some(need) = self.needs.get_mut(&node) {
+                need.wants = open;
+            }
         }
     }
 
-    /// A spare machine of exactly this kind in another share.
-    fn spare_of(&self, offer: &Offer, except: &Node) -> Option<(MachineId, Node)> {
-        self.needs.iter().filter(|(node, _)| *node != except).find_map(|(node, need)| {
-            let fits = |id: &&MachineId| {
-                self.desk.offer_of(id) == Some(offer)
-                    && !self.desk.releases.contains(*id)
-                    && self.map.owners.machines.get(*id).is_some_and(|o| o.node == *node)
-            };
-            need.spare.iter().find(fits).map(|id| (id.clone(), node.clone()))
-        })
+    /// A spare machine in another share that would do; best one of the very kind.
+    fn spare_for(&self, want: &Want, except: &Node) -> Option<(MachineId, Node)> {
+        let spare = |fits: &dyn Fn(&Offer) -> bool| {
+            self.needs.iter().filter(|(node, _)| *node != except).find_map(|(node, need)| {
+                let usable = |id: &&MachineId| {
+                    self.desk.offer_of(id).is_some_and(fits)
+                        && !self.desk.releases.contains(*id)
+                        && self.map.owners.machines.get(*id).is_some_and(|o| o.node == *node)
+                };
+                need.spare.iter().find(usable).map(|id| (id.clone(), node.clone()))
+            })
+        };
+        spare(&|offer| *offer == want.offer).or_else(|| spare(&|o| want.any_of.contains(o)))
     }
 
     fn move_machine(
@@ -394,14 +397,15 @@
             for c in self.desk.coming.values().filter(for_node) {
                 *coming.entry(&c.offer).or_default() += 1;
             }
-            let mut lacks: Vec<(Offer, u32)> = Vec::new();
-            for (offer, count) in &need.wants {
-                let of_kind = coming.remove(offer).unwrap_or(0);
-                // What comes beyond this kind serves the other kinds wanted.
-                if of_kind > *count {
-                    unclaimed += of_kind - count;
+            let mut lacks: BTreeMap<Offer, u32> = BTreeMap::new();
+            for want in &need.wants {
+                // What comes of any kind that would do serves the want.
+                let mut kinds = std::iter::once(&want.offer).chain(&want.any_of);
+                let of_kind = kinds.find(|kind| coming.get(kind).is_some_and(|count| *count > 0));
+                match of_kind.and_then(|kind| coming.get_mut(kind)) {
+                    Some(count) => *count -= 1,
+                    None => *lacks.entry(want.offer.clone()).or_default() += 1,
                 }
-                lacks.push((offer.clone(), count.saturating_sub(of_kind)));
             }
             unclaimed += coming.values().sum::<u32>();
             for (offer, count) in lacks {
@@ -420,11 +424,3 @@
         }
     }
 }
-
-fn lower(need: &mut Need, offer: &Offer) {
-    for (wanted, count) in &mut need.wants {
-        if wanted == offer {
-            *count = count.saturating_sub(1);
-        }
-    }
-}
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -66,11 +66,20 @@
 /// A kind of machine that can be rented: type, zone, and whether spot.
 pub type Offer = (TypeName, Zone, bool);
 
+/// One machine that a share lacks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Want {
+    /// The cheapest for what waits.
+    pub offer: Offer,
+    /// Everything that would do, if somebody can spare it.
+    pub any_of: Vec<Offer>,
+}
+
 /// What a share tells the leader.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Need {
     /// Machines that would serve what finds no room.
-    pub wants: Vec<(Offer, u32)>,
+    pub wants: Vec<Want>,
     /// GPUs (of tasks without: CPUs) that wait for room, a waiting gang counting whole.
     pub queued: f64,
     /// Idle machines that no plan uses.
@@ -181,11 +190,8 @@
             return;
         }
         self.next_plan = now + self.config.deployment.workers.lease_s / 10.0;
-        let settling = self.teams.values().any(|team| !team.unsettled.is_empty());
         let mut need = Need::default();
-        if !settling {
-            self.plan(catalog, now, &mut need);
-        }
+        self.plan(catalog, now, &mut need);
         let lease = self.config.deployment.workers.lease_s;
         let lag = self.config.deployment.cloud.list_lag_s;
         for machine in self.machines.values().filter(|machine| machine.mine) {
@@ -203,7 +209,6 @@
     fn plan(&mut self, catalog: &Catalog, now: Time, need: &mut Need) {
         let types = catalog.types();
         let mut bins = self.bins(now);
-        let mut wants: BTreeMap<Offer, u32> = BTreeMap::new();
         let mut in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
         for bin in &bins {
             *in_zone.entry(bin.offer.1.clone()).or_default() += 1;
@@ -235,7 +240,8 @@
                 } else {
                     let found = cheapest(types, &spec, &one, &open, &in_zone, &self.refused);
                     let Some((offer, total)) = found else { break };
-                    *wants.entry(offer.clone()).or_default() += 1;
+                    let any_of = offers(types, &spec, &one, &open);
+                    need.wants.push(Want { offer: offer.clone(), any_of });
                     let zone = offer.1.clone();
                     *in_zone.entry(zone.clone()).or_default() += 1;
                     bins.push(Bin { machine: None, offer, free: total.less(&one), used: true });
@@ -244,7 +250,6 @@
                 *per_zone.entry(zone).or_default() += 1;
             }
         }
-        need.wants = wants.into_iter().collect();
         self.spare(&bins, catalog, now, need);
     }
 
@@ -319,6 +324,26 @@
     }
 }
 
+/// Every kind of machine that may run the task.
+fn offers(
+    types: &[MachineType],
+    spec: &JobSpec,
+    need: &Room,
+    open: &dyn Fn(&Zone) -> bool,
+) -> Vec<Offer> {
+    let mut offers = Vec::new();
+    for of_type in types.iter().filter(|of_type| room(of_type).holds(need)) {
+        for zone in of_type.zones.iter().filter(|zone| open(zone)) {
+            for spot in [false, true] {
+                if allowed(spec, &of_type.name, zone, spot) {
+                    offers.push((of_type.name.clone(), zone.clone(), spot));
+                }
+            }
+        }
+    }
+    offers
+}
+
 /// The offer with the lowest price per task; among equals the zone with the fewest machines.
 fn cheapest(
     types: &[MachineType],
