--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -296,7 +296,9 @@
     fn begin_anew(&mut self, why: &str, pause: Time) {
         tracing::info!("share lost: {why}");
         self.authority.lost(self.io.now + pause);
-        self.owner = None;
+        if let Some(owner) = self.owner.take() {
+            self.hints = owner.known_images();
+        }
         self.leader = None;
     }
 
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -35,6 +35,8 @@
     /// Machines that reported and are not on the map.
     newcomers: BTreeMap<MachineId, Offer>,
     pub(super) next_round: Time,
+    /// When a machine in use may next move for what waits.
+    pub(super) next_urgent: Time,
     pub(super) desk: CloudDesk,
 }
 
@@ -53,6 +55,7 @@
             needs: BTreeMap::new(),
             newcomers: BTreeMap::new(),
             next_round: now,
+            next_urgent: now,
             desk: CloudDesk::new(config, now, fresh),
         }
     }
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -268,6 +268,13 @@
         free
     }
 
+    /// GPUs that are free or taken by work of normal and low priority.
+    pub fn room_beside_urgent(&self) -> f64 {
+        let urgent = |held: &&Held| !held.exited() && held.priority > Priority::Normal;
+        let taken = self.on.values().filter(urgent);
+        self.total.gpus - taken.filter_map(|held| held.room).map(|room| room.gpus).sum::<f64>()
+    }
+
     pub fn idle(&self) -> bool {
         self.on.values().all(Held::exited)
     }
@@ -300,8 +307,15 @@
         self.images.iter().any(|(known, _)| known == image)
     }
 
-    pub fn forget_images(&mut self) {
-        self.images.clear();
+    pub fn images(&self) -> &[(Image, f64)] {
+        &self.images
+    }
+
+    /// What it is said to hold, by whoever had it before.
+    pub fn take_images(&mut self, images: &[(Image, f64)]) {
+        if self.images.is_empty() {
+            self.images = images.to_vec();
+        }
     }
 
     /// Seconds until a task that needs this image could run here.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -191,6 +191,8 @@
     /// The map and the cloud, while this process leads.
     leader: Option<Leader>,
     catalog: supply::Catalog,
+    /// What siblings told of machines' images before there was a share.
+    hints: owner::Hints,
 }
 
 impl Core {
@@ -207,6 +209,7 @@
             owner: None,
             leader: None,
             catalog: supply::Catalog::default(),
+            hints: owner::Hints::new(),
             config,
         }
     }
@@ -336,7 +339,8 @@
         let incarnation = self.authority.incarnation();
         let registered = self.view.node(&self.config.node).map(|n| n.record.incarnation);
         if self.owner.is_none() && registered == Some(incarnation) && self.authority.entitled(now) {
-            self.owner = Some(Owner::new(&self.config, incarnation, now));
+            let hints = std::mem::take(&mut self.hints);
+            self.owner = Some(Owner::new(&self.config, incarnation, hints, now));
             self.peers.heard_workers(now);
         }
         let leads = self.authority.leads(&self.view);
--- a/src/core/news.rs
+++ b/src/core/news.rs
@@ -6,7 +6,7 @@
 use super::io::Io;
 use super::leader::Leader;
 use super::machines::{Machine, Phase};
-use super::owner::Owner;
+use super::owner::{Hints, Owner};
 use super::supply::{Need, Offer};
 use super::view::View;
 use crate::ids::{Attempt, MachineId, Node, TaskId, Team, Term, Version, Zone};
@@ -31,6 +31,9 @@
     pub need: Need,
     /// From the leader: what the cloud has none of at present.
     pub refused: Option<BTreeSet<Offer>>,
+    /// Now and then: the images on the sender's machines; to a process that has just begun, all
+    /// that the sender knows. A new owner starts without them where it would have to fetch.
+    pub images: Hints,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -56,7 +59,13 @@
         std::mem::take(&mut self.hurry)
     }
 
-    pub fn news_for(&self, node: &Node, view: &View, leader: Option<&Leader>) -> News {
+    pub fn news_for(
+        &self,
+        node: &Node,
+        view: &View,
+        leader: Option<&Leader>,
+        images: Hints,
+    ) -> News {
         let owners = view.owners();
         let theirs: BTreeSet<&Team> =
             owners.teams.iter().filter(|(_, o)| o.node == *node).map(|(team, _)| team).collect();
@@ -95,9 +104,21 @@
             wishes,
             need: self.need.clone(),
             refused: leader.map(Leader::refused),
+            images,
         }
     }
 
+    pub fn own_images(&self) -> Hints {
+        let mine = self.machines.values().filter(|machine| machine.mine);
+        mine.map(|machine| (machine.id.clone(), machine.images().to_vec())).collect()
+    }
+
+    pub fn known_images(&self) -> Hints {
+        let mut known = self.hints.clone();
+        known.extend(self.own_images());
+        known
+    }
+
     /// Whether this share waits for facts, or follows tasks on others' machines.
     fn listening(&self) -> bool {
         self.teams.values().any(|team| !team.unsettled.is_empty())
@@ -120,6 +141,7 @@
         if let Some(refused) = news.refused {
             self.refused = refused;
         }
+        self.hints.extend(news.images);
         let former = (from.clone(), incarnation);
         for machine in self.machines.values_mut() {
             // It has seen the change of the map, and so answers the machine no more.
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -13,7 +13,7 @@
 use super::view::{JobRecord, View, guard, job_key, put};
 use super::{StateCall, StateReply, Time};
 use crate::config::Config;
-use crate::ids::{Attempt, JobId, MachineId, Node, TaskId, Team, Term, Version};
+use crate::ids::{Attempt, Image, JobId, MachineId, Node, TaskId, Team, Term, Version};
 use crate::wire::{Exit, JobSpec, Stance, Transaction, Write};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -56,12 +56,18 @@
     pub(super) next_plan: Time,
     /// What the cloud has none of at present, as the leader knows.
     pub(super) refused: BTreeSet<Offer>,
+    /// Images that machines are said to hold.
+    pub(super) hints: Hints,
     /// Siblings that want to hear of our machines.
     pub(super) listeners: BTreeSet<Node>,
     /// Something has come up that a sibling should hear of soon.
     pub(super) hurry: bool,
 }
 
+/// Images that each machine holds, as far as anybody knows. Only a hint: it decides what is quick,
+/// not what is allowed.
+pub type Hints = BTreeMap<MachineId, Vec<(Image, f64)>>;
+
 /// Attempt numbers to a term of a team.
 const ATTEMPTS: u64 = 1 << 16;
 
@@ -85,7 +91,7 @@
 }
 
 impl Owner {
-    pub fn new(config: &Rc<Config>, incarnation: u64, now: Time) -> Self {
+    pub fn new(config: &Rc<Config>, incarnation: u64, hints: Hints, now: Time) -> Self {
         // Shares write on their own; together they keep within the state service's rate.
         let rate = config.deployment.state.write_rps * 0.75 / config.controllers() as f64;
         Self {
@@ -106,6 +112,7 @@
             need: Need::default(),
             next_plan: now,
             refused: BTreeSet::new(),
+            hints,
             listeners: BTreeSet::new(),
             hurry: false,
         }
@@ -204,6 +211,11 @@
                 Some(_) => {}
             }
         }
+        for machine in self.machines.values_mut().filter(|machine| machine.mine) {
+            if let Some(images) = self.hints.get(&machine.id) {
+                machine.take_images(images);
+            }
+        }
         let teams = &self.teams;
         let ours = |held: &Held| held.team.as_ref().is_some_and(|team| teams.contains_key(team));
         self.machines.retain(|_, machine| {
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -4,7 +4,7 @@
 use super::authority::Process;
 use super::io::Pending;
 use super::news::News;
-use super::owner::Owner;
+use super::owner::{Hints, Owner};
 use super::{Answer, Body, Core, RequestId, Time, UserRequest};
 use crate::config::Config;
 use crate::ids::{JobId, Node};
@@ -65,11 +65,16 @@
     hello_out: bool,
     /// Process and number of its newest hello.
     newest: (u64, u64),
+    /// It has begun anew and is to hear all that is known of images.
+    ignorant: bool,
     running: BTreeMap<JobId, (u32, u32)>,
     /// When a worker was last sent to it.
     sent_worker: Time,
 }
 
+/// Images are told with every so many hellos.
+const IMAGES_EVERY: u64 = 10;
+
 pub struct Peers {
     node: Node,
     peers: BTreeMap<Node, Peer>,
@@ -89,6 +94,7 @@
             sends_workers: false,
             hello_out: false,
             newest: (0, 0),
+            ignorant: true,
             running: BTreeMap::new(),
             sent_worker: Time::NEG_INFINITY,
         };
@@ -162,15 +168,19 @@
             (self.authority.wants_voucher(now).is_some(), self.authority.wanted_consents());
         let nodes: Vec<Node> = self.peers.peers.keys().cloned().collect();
         for node in nodes {
-            let news = self
-                .owner
-                .as_ref()
-                .filter(|_| entitled)
-                .map(|owner| owner.news_for(&node, &self.view, self.leader.as_ref()));
             let Some(peer) = self.peers.peers.get_mut(&node) else { continue };
             if std::mem::replace(&mut peer.hello_out, true) {
                 continue;
             }
+            let now_and_then = self.peers.number.is_multiple_of(IMAGES_EVERY);
+            let news = self.owner.as_ref().filter(|_| entitled).map(|owner| {
+                let images = match (std::mem::take(&mut peer.ignorant), now_and_then) {
+                    (true, _) => owner.known_images(),
+                    (false, true) => owner.own_images(),
+                    (false, false) => Hints::new(),
+                };
+                owner.news_for(&node, &self.view, self.leader.as_ref(), images)
+            });
             let hello = Hello {
                 from: self.peers.node.clone(),
                 incarnation: self.authority.incarnation(),
@@ -210,6 +220,7 @@
         let late = peer.newest.0 == incarnation && peer.newest.1 >= hello.number;
         let sends_workers = now - peer.sent_worker < self.peers.recent;
         if !late {
+            peer.ignorant |= peer.newest.0 != incarnation;
             peer.newest = (incarnation, hello.number);
             peer.running =
                 hello.running.into_iter().map(|(job, done, runs)| (job, (done, runs))).collect();
@@ -220,6 +231,9 @@
             .into_iter()
             .filter(|process| self.authority.consent(process, now))
             .collect();
+        if let (Some(news), None, false) = (&hello.news, &self.owner, late) {
+            self.hints.extend(news.images.clone());
+        }
         if let (Some(news), false) = (hello.news, late) {
             if let Some(leader) = self.leader.as_mut() {
                 leader.needs(&from, news.need.clone());
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -21,8 +21,12 @@
 
 /// What stopping a task loses, in seconds of its work.
 fn loss(share: &Owner, task: &TaskId, held: &Held, now: Time) -> Option<(Time, f64)> {
-    let job = share.jobs.get(&task.job)?;
     let ran = held.began.map_or(0.0, |began| now - began);
+    let Some(job) = share.jobs.get(&task.job) else {
+        // Of another share's team, on a machine that moved here: its owner starts it elsewhere.
+        let known = held.team.is_some() && held.save_s > 0.0;
+        return known.then_some((held.save_s, held.save_s));
+    };
     let saves = job.spec.checkpoint_s > 0.0;
     Some(match job.spec.kind {
         // A replica that stops is missed until it is up elsewhere.
--- a/src/core/rebalance.rs
+++ b/src/core/rebalance.rs
@@ -5,7 +5,7 @@
 
 use super::io::Io;
 use super::leader::Leader;
-use super::supply::{Catalog, Offer, Want};
+use super::supply::{Catalog, Need, Offer, Want};
 use super::{CloudCall, CloudReply, Time};
 use crate::config::Config;
 use crate::ids::{MachineId, Node, Team, Version};
@@ -124,7 +124,7 @@
             self.map.remove_machine(&id);
             self.desk.offers.remove(&id);
         }
-        self.serve_wants(living);
+        self.serve_wants(living, now);
         if now < self.next_round {
             return;
         }
@@ -143,9 +143,13 @@
         if self.teams_of(&most) < self.teams_of(&least) + 2 {
             return;
         }
+        // What waits would wait longer while the new owner learns what runs where.
+        let quiet = |team: &Team| self.needs.get(&most).is_some_and(|n| n.quiet.contains(team));
         let teams = self.map.owners.teams.iter();
-        let team: Option<Team> =
-            teams.filter(|(_, o)| o.node == most).map(|(team, _)| team.clone()).next_back();
+        let team: Option<Team> = teams
+            .filter(|(team, o)| o.node == most && quiet(team))
+            .map(|(t, _)| t.clone())
+            .next_back();
         if let Some(team) = team {
             tracing::info!("team {team} moves from {most} to {least}");
             self.give_team(&team, &least, living[&least]);
@@ -174,13 +178,14 @@
 
     /// What one share wants and another can spare moves at once: a change of the design, which
     /// moves machines in rounds only, made because users wait meanwhile.
-    fn serve_wants(&mut self, living: &BTreeMap<Node, u64>) {
+    fn serve_wants(&mut self, living: &BTreeMap<Node, u64>, now: Time) {
         let wanting: Vec<Node> = living.keys().cloned().collect();
         for node in wanting {
             let Some(need) = self.needs.get_mut(&node) else { continue };
             let mut open = Vec::new();
             for want in std::mem::take(&mut need.wants) {
-                match self.spare_for(&want, &node) {
+                let found = self.spare_for(&want, &node);
+                match found.or_else(|| self.roomy_for(&want, &node, now)) {
                     Some((id, from)) => self.move_machine(&id, &from, &node, living),
                     None => open.push(want),
                 }
@@ -206,6 +211,33 @@
         spare(&|offer| *offer == want.offer).or_else(|| spare(&|o| want.any_of.contains(o)))
     }
 
+    /// The cloud has none and nobody can spare one: a machine of another share with room for what
+    /// waits, if nothing as urgent waits there. One at a time, for what the move changes has to be
+    /// seen before the next.
+    fn roomy_for(&mut self, want: &Want, to: &Node, now: Time) -> Option<(MachineId, Node)> {
+        let urgency = want.urgency?;
+        let refused = |offer: &Offer| self.desk.refused.contains_key(offer);
+        if now < self.next_urgent || !want.any_of.iter().filter(|o| !o.2).all(refused) {
+            return None;
+        }
+        let calm = |need: &Need| need.wants.iter().all(|other| other.urgency < Some(urgency));
+        let found = self
+            .needs
+            .iter()
+            .filter(|(node, need)| *node != to && calm(need))
+            .flat_map(|(node, need)| need.roomy.iter().map(move |(id, gpus)| (node, id, *gpus)))
+            .filter(|(node, id, gpus)| {
+                *gpus >= want.gpus
+                    && self.desk.offer_of(id).is_some_and(|offer| want.any_of.contains(offer))
+                    && self.map.owners.machines.get(*id).is_some_and(|o| o.node == **node)
+            })
+            .max_by(|a, b| a.2.total_cmp(&b.2));
+        let (node, id, _) = found?;
+        let found = (id.clone(), node.clone());
+        self.next_urgent = now + self.config.deployment.workers.lease_s * 0.25;
+        Some(found)
+    }
+
     fn move_machine(
         &mut self,
         id: &MachineId,
@@ -217,7 +249,7 @@
         if let Some(need) = self.needs.get_mut(from) {
             need.spare.retain(|other| other != id);
             need.closed.retain(|other| other != id);
-            need.freest.take_if(|other| other == id);
+            need.roomy.retain(|(other, _)| other != id);
         }
         self.give_machine(id, to, living[to], Some((from.clone(), living[from])));
     }
@@ -242,7 +274,8 @@
             self.map.owners.machines.get(id).is_some_and(|owner| owner.node == from)
         };
         let idle = need.spare.iter().find(|id| owned(id));
-        if let Some(id) = idle.or(need.freest.as_ref().filter(|id| owned(id))).cloned() {
+        let roomy = need.roomy.iter().map(|(id, _)| id).find(|id| owned(id));
+        if let Some(id) = idle.or(roomy).cloned() {
             self.move_machine(&id, &from, &to, living);
         }
     }
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -13,7 +13,7 @@
 use super::{CloudCall, CloudReply, Core, Time};
 use crate::config::Config;
 use crate::ids::{MachineId, Team, TypeName, Zone};
-use crate::wire::{JobSpec, MachineType};
+use crate::wire::{JobSpec, MachineType, Priority};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -73,6 +73,9 @@
     pub offer: Offer,
     /// Everything that would do, if somebody can spare it.
     pub any_of: Vec<Offer>,
+    /// Of the task that asks first: what it takes, and how urgent it is; None for a forecast.
+    pub urgency: Option<Priority>,
+    pub gpus: f64,
 }
 
 /// What a share tells the leader.
@@ -86,8 +89,11 @@
     pub spare: Vec<MachineId>,
     /// Of those, the ones closed because they were idle for long.
     pub closed: Vec<MachineId>,
-    /// The machine with the most free room, beside idle ones.
-    pub freest: Option<MachineId>,
+    /// Machines with room beside work that matters, most first: GPUs free or taken by work of
+    /// normal and low priority.
+    pub roomy: Vec<(MachineId, f64)>,
+    /// Teams of which nothing waits.
+    pub quiet: Vec<Team>,
     /// Machines that have not been heard of for long.
     pub silent: Vec<MachineId>,
     /// Machines that are to get a fresh token.
@@ -108,6 +114,8 @@
 const HISTORY: usize = 512;
 /// Machines idle for this many boot times are closed.
 const IDLE_BOOTS: f64 = 2.0;
+/// Machines with room told to the leader at most.
+const ROOMY: usize = 6;
 /// Leases after which a silent machine is given up.
 const SILENT_LEASES: f64 = 3.0;
 
@@ -241,7 +249,9 @@
                     let found = cheapest(types, &spec, &one, &open, &in_zone, &self.refused);
                     let Some((offer, total)) = found else { break };
                     let any_of = offers(types, &spec, &one, &open);
-                    need.wants.push(Want { offer: offer.clone(), any_of });
+                    let urgency = waits.then_some(spec.priority);
+                    let gpus = one.gpus;
+                    need.wants.push(Want { offer: offer.clone(), any_of, urgency, gpus });
                     let zone = offer.1.clone();
                     *in_zone.entry(zone.clone()).or_default() += 1;
                     bins.push(Bin { machine: None, offer, free: total.less(&one), used: true });
@@ -319,8 +329,15 @@
         }
         let rest = self.machines.values().filter(|machine| machine.usable(now));
         let rest = rest.filter(|machine| !need.spare.contains(&machine.id));
-        let freest = rest.max_by(|a, b| a.free().gpus.total_cmp(&b.free().gpus));
-        need.freest = freest.map(|machine| machine.id.clone());
+        let rest = rest.map(|machine| (machine.id.clone(), machine.room_beside_urgent()));
+        need.roomy = rest.filter(|(_, gpus)| *gpus > 0.0).collect();
+        need.roomy.sort_by(|a, b| b.1.total_cmp(&a.1));
+        need.roomy.truncate(ROOMY);
+        let waits = |team: &Team| {
+            self.jobs.values().any(|job| job.spec.team == *team && !job.waiting().is_empty())
+        };
+        let quiet = self.teams.iter().filter(|(name, t)| t.unsettled.is_empty() && !waits(name));
+        need.quiet = quiet.map(|(name, _)| name.clone()).collect();
     }
 }
 
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -100,7 +100,6 @@
         let newly_trusted = !std::mem::replace(&mut machine.trusted, true);
         if newly_trusted {
             machine.idle_since = now;
-            machine.forget_images();
             self.hurry = true;
             self.changed = true;
         }
