--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -68,12 +68,23 @@
     pub ready_in: Time,
 }
 
+/// What to do when no machine could run the task in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Late {
+    /// Best fit among the soonest.
+    BestFit,
+    /// Among the soonest the one with the most room, so that the image it has to fetch is there
+    /// for the next of its kind, which then is in time.
+    MostRoom,
+}
+
 /// Picks a candidate. One that could not run the task within `slack` does not suffice while
 /// another does; if none does, the soonest ones are left to choose from.
 pub fn best_fit(
     need: &Room,
     candidates: &[Candidate],
     slack: Time,
+    late: Late,
     weights: Weights,
 ) -> Option<usize> {
     let fits = |c: &&Candidate| c.free.holds(need);
@@ -88,9 +99,10 @@
             + weights.memory * fraction(left.memory_gb, c.total.memory_gb);
         (if need.gpus > 0.0 { left.gpus } else { 0.0 }, rest)
     };
+    let most_room = late == Late::MostRoom && soonest > slack;
     let all = candidates.iter().enumerate().filter(suffices);
     all.min_by(|(_, a), (_, b)| {
-        let (a, b) = (key(a), key(b));
+        let (a, b) = if most_room { (key(b), key(a)) } else { (key(a), key(b)) };
         a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
     })
     .map(|(index, _)| index)
@@ -108,7 +120,7 @@
     const NEED: Room = Room { cpus: 4.0, gpus: 2.0, memory_gb: 10.0 };
 
     fn pick(candidates: &[Candidate], slack: Time) -> Option<usize> {
-        best_fit(&NEED, candidates, slack, Weights::default())
+        best_fit(&NEED, candidates, slack, Late::BestFit, Weights::default())
     }
 
     #[test]
@@ -130,5 +142,8 @@
         assert_eq!(pick(&all, 10.0), Some(1));
         assert_eq!(pick(&all, 40.0), Some(0));
         assert_eq!(pick(&all, 1.0), Some(1), "if none suffices, the soonest");
+        let cold = [candidate(2.0, 8.0, 30.0), candidate(8.0, 32.0, 30.0)];
+        let pick = |slack| best_fit(&NEED, &cold, slack, Late::MostRoom, Weights::default());
+        assert_eq!((pick(40.0), pick(10.0)), (Some(0), Some(1)), "room where the image will be");
     }
 }
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -3,11 +3,11 @@
 use super::Time;
 use super::jobs::Job;
 use super::owner::Owner;
-use super::placement::{Candidate, Room, best_fit};
+use super::placement::{Candidate, Late, Room, best_fit};
 use super::preempt;
 use crate::config::{Config, TeamLimits};
 use crate::ids::{Image, JobId, MachineId, TypeName, Zone};
-use crate::wire::JobSpec;
+use crate::wire::{JobSpec, Kind};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine during a round, with what the round has taken off it already.
@@ -191,6 +191,8 @@
         let need = job.need();
         let spec = &job.spec;
         let slack = if job.began { 0.0 } else { due(&self.config, job) - now };
+        let service = spec.kind == Kind::Service && !job.began;
+        let late = if service { Late::MostRoom } else { Late::BestFit };
         let mut taken: BTreeMap<usize, Room> = BTreeMap::new();
         let mut in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
         let mut chosen = Vec::new();
@@ -225,7 +227,9 @@
                     Candidate { free, total: slot.total, ready_in: ready[index] }
                 })
                 .collect();
-            let Some(pick) = best_fit(&need, &candidates, slack, self.weights) else { break };
+            let Some(pick) = best_fit(&need, &candidates, slack, late, self.weights) else {
+                break;
+            };
             let index = open[pick];
             taken.insert(index, candidates[pick].free.less(&need));
             *in_zone.entry(slots[index].zone.clone()).or_default() += 1;
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -347,7 +347,14 @@
         describe(&mut held, &job.spec);
         job.set(index, Task::Placed(machine.id.clone(), attempt), Some(&machine.zone));
         let task = TaskId { job: id.clone(), index };
-        tracing::debug!("start {task} on {} as {}", machine.id, attempt.0);
+        let (waited, spec) = (now - job.submitted, &job.spec);
+        let ready = machine.ready_in(&spec.image, spec.image_gb, now);
+        tracing::debug!(
+            "start {task} of {} on {} after {waited:.1} s, image {} in {ready:.1} s",
+            spec.class,
+            machine.id,
+            spec.image
+        );
         machine.on.insert((task, attempt), held);
         self.push.insert(machine.id.clone());
     }
