--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -150,7 +150,7 @@
             self.changed = false;
             self.scheduled = now;
             self.drain(now);
-            self.schedule(now);
+            self.schedule(catalog, now);
         }
         self.count_running(now);
         self.push_orders(io);
@@ -343,9 +343,7 @@
                 }
             }
         }
-        if new {
-            self.forecast.arrived(spec, now);
-        }
+        self.forecast.arrived(spec, job.submitted);
         self.jobs.insert(id.clone(), job);
         self.changed = true;
         for (machine, task, attempt, why) in exits {
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -5,6 +5,7 @@
 use super::owner::Owner;
 use super::placement::{Candidate, Late, Room, best_fit};
 use super::preempt;
+use super::supply::Catalog;
 use crate::config::{Config, TeamLimits};
 use crate::ids::{Image, JobId, MachineId, TypeName, Zone};
 use crate::wire::{JobSpec, Kind};
@@ -22,6 +23,16 @@
     pub later: Room,
     /// Kept for a job that needs it whole.
     pub reserved: bool,
+    /// Room held back for starts that are in time only here, by image.
+    pub warm: Vec<(Image, Room)>,
+}
+
+impl Slot {
+    /// Free room less what is held back for other images.
+    fn open_to(&self, image: Option<&Image>) -> Room {
+        let others = self.warm.iter().filter(|(other, _)| Some(other) != image);
+        others.fold(self.free, |free, (_, room)| free.less(room))
+    }
 }
 
 /// Starts issued in one round at most; the next follows at once.
@@ -70,6 +81,7 @@
                 free: m.free(),
                 later: m.free_after_stops(),
                 reserved: false,
+                warm: Vec::new(),
             })
             .collect()
     }
@@ -102,14 +114,16 @@
         queue.into_iter().map(|(_, _, id)| id.clone()).collect()
     }
 
-    pub(super) fn schedule(&mut self, now: Time) {
+    pub(super) fn schedule(&mut self, catalog: &Catalog, now: Time) {
         let mut slots = self.slots(now);
+        self.hold_warm(&mut slots, catalog, now);
         let mut usage = self.usage();
         let mut starts = 0;
         for id in self.queue(now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             let Some(limits) = limits(&self.config, &job.spec).cloned() else { continue };
             let need = job.need();
+            let spec = job.spec.clone();
             let ready = |index: &u32| job.retries.get(index).is_none_or(|r| r.not_before <= now);
             let waiting: Vec<u32> =
                 job.waiting().iter().copied().filter(ready).take(STARTS_PER_ROUND).collect();
@@ -127,7 +141,11 @@
                 continue;
             }
             let wanted = &waiting[..room];
-            let chosen = self.choose(job, wanted.len(), &slots, now, whole);
+            // Warm room is for whom it is held, unless nothing else will do.
+            let mut chosen = self.choose(job, wanted.len(), &slots, now, whole, true);
+            if chosen.len() < wanted.len() {
+                chosen = self.choose(job, wanted.len(), &slots, now, whole, false);
+            }
             let missing = wanted.len() - chosen.len();
             if !chosen.is_empty() {
                 let Some(attempt) = self.next_attempt(&limits.name) else { continue };
@@ -135,6 +153,8 @@
                     let slot = &mut slots[*slot];
                     slot.free = slot.free.less(&need);
                     slot.later = slot.later.less(&need);
+                    let held = slot.warm.iter().position(|(image, _)| *image == spec.image);
+                    held.map(|held| slot.warm.remove(held));
                     usage.add(&limits.name, need.cpus, need.gpus);
                     let machine = slot.id.clone();
                     self.start(&id, *index, &machine, attempt, now);
@@ -155,6 +175,35 @@
         }
     }
 
+    /// Holds room back, on machines that have an image whose fetch takes longer than starts may,
+    /// for as many of its tasks as came lately: an extension of the design, in which other work
+    /// would best-fit itself into just that room.
+    fn hold_warm(&self, slots: &mut [Slot], catalog: &Catalog, now: Time) {
+        let tight = self.forecast.tight_images(&self.config, catalog.types(), now);
+        for (image, (spec, recent)) in tight {
+            let need = Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb };
+            let zones: BTreeSet<Zone> = slots.iter().map(|slot| slot.zone.clone()).collect();
+            for zone in &zones {
+                let mut wanted = recent.div_ceil(zones.len() as u32).max(1);
+                let mut holders: Vec<usize> = (0..slots.len())
+                    .filter(|index| {
+                        let slot = &slots[*index];
+                        slot.zone == *zone
+                            && allowed(&spec, &slot.type_name, &slot.zone, slot.spot)
+                            && self.machines.get(&slot.id).is_some_and(|m| m.has_image(&image))
+                    })
+                    .collect();
+                holders.sort_by(|a, b| slots[*a].free.gpus.total_cmp(&slots[*b].free.gpus));
+                for index in holders {
+                    while wanted > 0 && slots[index].open_to(None).holds(&need) {
+                        slots[index].warm.push((image.clone(), need));
+                        wanted -= 1;
+                    }
+                }
+            }
+        }
+    }
+
     /// Slots for up to `count` tasks of a job: all of them or none if it is to be whole.
     fn choose(
         &self,
@@ -163,20 +212,21 @@
         slots: &[Slot],
         now: Time,
         whole: bool,
+        spare_warm: bool,
     ) -> Vec<usize> {
         let zones: BTreeSet<&Zone> = slots.iter().map(|slot| &slot.zone).collect();
         if job.spec.one_zone && count > 1 && job.placed() == 0 {
             // The zone that takes the most of it.
             let mut best = Vec::new();
             for zone in zones {
-                let chosen = self.choose_in(job, count, slots, now, Some(zone));
+                let chosen = self.choose_in(job, count, slots, now, Some(zone), spare_warm);
                 if chosen.len() > best.len() {
                     best = chosen;
                 }
             }
             return if whole && best.len() < count { Vec::new() } else { best };
         }
-        let chosen = self.choose_in(job, count, slots, now, None);
+        let chosen = self.choose_in(job, count, slots, now, None, spare_warm);
         if whole && chosen.len() < count { Vec::new() } else { chosen }
     }
 
@@ -187,6 +237,7 @@
         slots: &[Slot],
         now: Time,
         zone: Option<&Zone>,
+        spare_warm: bool,
     ) -> Vec<usize> {
         let need = job.need();
         let spec = &job.spec;
@@ -223,7 +274,8 @@
                 .iter()
                 .map(|index| {
                     let slot = &slots[*index];
-                    let free = taken.get(index).copied().unwrap_or(slot.free);
+                    let open = if spare_warm { slot.open_to(Some(&spec.image)) } else { slot.free };
+                    let free = taken.get(index).copied().unwrap_or(open);
                     Candidate { free, total: slot.total, ready_in: ready[index] }
                 })
                 .collect();
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -12,8 +12,8 @@
 use super::schedule::{allowed, limits};
 use super::{CloudCall, CloudReply, Core, Time};
 use crate::config::Config;
-use crate::ids::{MachineId, Team, TypeName, Zone};
-use crate::wire::{JobSpec, MachineType, Priority};
+use crate::ids::{Image, MachineId, Team, TypeName, Zone};
+use crate::wire::{JobSpec, Kind, MachineType, Priority};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -120,11 +120,35 @@
 const SILENT_LEASES: f64 = 3.0;
 
 impl Forecast {
-    pub fn arrived(&mut self, spec: &Rc<JobSpec>, now: Time) {
+    /// A job arrived, perhaps at another owner and a while ago.
+    pub fn arrived(&mut self, spec: &Rc<JobSpec>, at: Time) {
         if self.arrivals.len() >= HISTORY {
             self.arrivals.pop_front();
         }
-        self.arrivals.push_back((now, spec.clone()));
+        let place = self.arrivals.partition_point(|(other, _)| *other <= at);
+        self.arrivals.insert(place, (at, spec.clone()));
+    }
+
+    /// Images for which a start is in time only where they are already, each with the job that
+    /// last asked for it and the number of its tasks that came within the history.
+    pub fn tight_images(
+        &self,
+        config: &Config,
+        types: &[MachineType],
+        now: Time,
+    ) -> BTreeMap<Image, (Rc<JobSpec>, u32)> {
+        let rate = types.iter().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
+        let boot = types.iter().map(|t| t.boot_s).fold(1.0, f64::max);
+        let mut images: BTreeMap<Image, (Rc<JobSpec>, u32)> = BTreeMap::new();
+        for (at, spec) in self.arrivals.iter().rev() {
+            let within = config.wait_objective(&spec.class);
+            if spec.kind == Kind::Service && within.is_some_and(|s| s * rate < spec.image_gb) {
+                let fresh = || (spec.clone(), 0);
+                let entry = images.entry(spec.image.clone()).or_insert_with(fresh);
+                entry.1 += if now - at <= boot * HISTORY_BOOTS { spec.tasks } else { 0 };
+            }
+        }
+        images
     }
 
     /// As many of the latest jobs of each class as arrive within a boot.
