--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -229,9 +229,10 @@
         self.leader.is_some() && self.authority.entitled(now)
     }
 
-    /// The teams for which this controller is entitled to start tasks.
+    /// The teams for which this controller can start tasks: it is entitled to, and has machines.
     pub fn teams(&self, now: Time) -> Vec<Team> {
         let owner = self.owner.as_ref().filter(|_| self.authority.entitled(now));
+        let owner = owner.filter(|owner| owner.has_machines());
         owner.map(Owner::settled_teams).unwrap_or_default()
     }
 
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -244,6 +244,9 @@
         let slack = if job.began { 0.0 } else { due(&self.config, job) - now };
         let service = spec.kind == Kind::Service && !job.began;
         let late = if service { Late::MostRoom } else { Late::BestFit };
+        let spot_fits = |slot: &&Slot| slot.spot && slot.open_to(Some(&spec.image)).holds(&need);
+        // What may run on spot machines leaves the dear ones to what may not.
+        let spot_only = spec.spot && slots.iter().filter(spot_fits).count() >= count;
         let mut taken: BTreeMap<usize, Room> = BTreeMap::new();
         let mut in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
         let mut chosen = Vec::new();
@@ -252,6 +255,7 @@
             .enumerate()
             .filter(|(_, slot)| {
                 !slot.reserved
+                    && (slot.spot || !spot_only)
                     && zone.is_none_or(|zone| slot.zone == *zone)
                     && allowed(spec, &slot.type_name, &slot.zone, slot.spot)
                     && !(job.failed_on.len() < 3 && job.failed_on.contains(&slot.id))
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -156,7 +156,9 @@
         let window = boot * HISTORY_BOOTS;
         let mut classes: BTreeMap<&str, Vec<&Rc<JobSpec>>> = BTreeMap::new();
         for (at, spec) in self.arrivals.iter().rev() {
-            if now - at <= window && config.wait_objective(&spec.class).is_some() {
+            // Without an objective on starts only cheap room is worth having ready.
+            let ready = config.wait_objective(&spec.class).is_some() || spec.spot;
+            if now - at <= window && ready {
                 classes.entry(&spec.class).or_default().push(spec);
             }
         }
@@ -177,6 +179,8 @@
     /// would never ask for what they need.
     zones: BTreeMap<Zone, u32>,
     waits: bool,
+    /// Room on ordinary machines is not worth having for it.
+    spot_only: bool,
 }
 
 /// Somewhere a task could go in a plan.
@@ -245,7 +249,8 @@
         for bin in &bins {
             *in_zone.entry(bin.offer.1.clone()).or_default() += 1;
         }
-        for Wanted { spec, count, zones: mut per_zone, waits } in self.demand(types, now) {
+        for wanted in self.demand(types, now) {
+            let Wanted { spec, count, zones: mut per_zone, waits, spot_only } = wanted;
             let one = need_of(&spec);
             if waits {
                 let size = if one.gpus > 0.0 { one.gpus } else { one.cpus };
@@ -256,12 +261,15 @@
                 let fits = |bin: &Bin| {
                     bin.free.holds(&one)
                         && allowed(&spec, &bin.offer.0, &bin.offer.1, bin.offer.2)
+                        && (bin.offer.2 || !spot_only)
                         && open(&bin.offer.1)
                 };
                 let left = |bin: &Bin| (bin.free.gpus - one.gpus, bin.free.cpus - one.cpus);
                 let best = bins.iter_mut().filter(|bin| fits(bin)).min_by(|a, b| {
                     let (a_left, b_left) = (left(a), left(b));
-                    (b.used.cmp(&a.used))
+                    let dear = |bin: &Bin| spec.spot && !bin.offer.2;
+                    (dear(a).cmp(&dear(b)))
+                        .then(b.used.cmp(&a.used))
                         .then(a_left.0.total_cmp(&b_left.0))
                         .then(a_left.1.total_cmp(&b_left.1))
                 });
@@ -271,6 +279,7 @@
                     bin.offer.1.clone()
                 } else {
                     let found = cheapest(types, &spec, &one, &open, &in_zone, &self.refused);
+                    let found = found.filter(|(offer, _)| offer.2 || !spot_only);
                     let Some((offer, total)) = found else { break };
                     let any_of = offers(types, &spec, &one, &open);
                     let urgency = waits.then_some(spec.priority);
@@ -321,12 +330,13 @@
                 count += 1;
             }
             let (spec, zones) = (job.spec.clone(), job.zones.clone());
-            demand.push(Wanted { spec, count, zones, waits: true });
+            demand.push(Wanted { spec, count, zones, waits: true, spot_only: false });
         }
         let boot = types.iter().map(|t| t.boot_s).fold(1.0, f64::max);
         for spec in self.forecast.expected(&self.config, boot, now) {
             let (count, zones) = (spec.tasks, BTreeMap::new());
-            demand.push(Wanted { spec, count, zones, waits: false });
+            let spot_only = self.config.wait_objective(&spec.class).is_none();
+            demand.push(Wanted { spec, count, zones, waits: false, spot_only });
         }
         demand
     }
