--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -156,9 +156,7 @@
         let window = boot * HISTORY_BOOTS;
         let mut classes: BTreeMap<&str, Vec<&Rc<JobSpec>>> = BTreeMap::new();
         for (at, spec) in self.arrivals.iter().rev() {
-            // Without an objective on starts only cheap room is worth having ready.
-            let ready = config.wait_objective(&spec.class).is_some() || spec.spot;
-            if now - at <= window && ready {
+            if now - at <= window && config.wait_objective(&spec.class).is_some() {
                 classes.entry(&spec.class).or_default().push(spec);
             }
         }
@@ -179,8 +177,6 @@
     /// would never ask for what they need.
     zones: BTreeMap<Zone, u32>,
     waits: bool,
-    /// Room on ordinary machines is not worth having for it.
-    spot_only: bool,
 }
 
 /// Somewhere a task could go in a plan.
@@ -250,7 +246,7 @@
             *in_zone.entry(bin.offer.1.clone()).or_default() += 1;
         }
         for wanted in self.demand(types, now) {
-            let Wanted { spec, count, zones: mut per_zone, waits, spot_only } = wanted;
+            let Wanted { spec, count, zones: mut per_zone, waits } = wanted;
             let one = need_of(&spec);
             if waits {
                 let size = if one.gpus > 0.0 { one.gpus } else { one.cpus };
@@ -261,7 +257,6 @@
                 let fits = |bin: &Bin| {
                     bin.free.holds(&one)
                         && allowed(&spec, &bin.offer.0, &bin.offer.1, bin.offer.2)
-                        && (bin.offer.2 || !spot_only)
                         && open(&bin.offer.1)
                 };
                 let left = |bin: &Bin| (bin.free.gpus - one.gpus, bin.free.cpus - one.cpus);
@@ -279,7 +274,6 @@
                     bin.offer.1.clone()
                 } else {
                     let found = cheapest(types, &spec, &one, &open, &in_zone, &self.refused);
-                    let found = found.filter(|(offer, _)| offer.2 || !spot_only);
                     let Some((offer, total)) = found else { break };
                     let any_of = offers(types, &spec, &one, &open);
                     let urgency = waits.then_some(spec.priority);
@@ -330,13 +324,12 @@
                 count += 1;
             }
             let (spec, zones) = (job.spec.clone(), job.zones.clone());
-            demand.push(Wanted { spec, count, zones, waits: true, spot_only: false });
+            demand.push(Wanted { spec, count, zones, waits: true });
         }
         let boot = types.iter().map(|t| t.boot_s).fold(1.0, f64::max);
         for spec in self.forecast.expected(&self.config, boot, now) {
             let (count, zones) = (spec.tasks, BTreeMap::new());
-            let spot_only = self.config.wait_objective(&spec.class).is_none();
-            demand.push(Wanted { spec, count, zones, waits: false, spot_only });
+            demand.push(Wanted { spec, count, zones, waits: false });
         }
         demand
     }
