--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -114,6 +114,10 @@
 const HISTORY: usize = 512;
 /// Machines idle for this many boot times are closed.
 const IDLE_BOOTS: f64 = 2.0;
+/// Machines wanted at once at most: as many as one rental may ask for.
+const WANTS: usize = 50;
+/// Tasks of one job that a plan looks at.
+const PLANNED: u32 = 1000;
 /// Machines with room told to the leader at most.
 const ROOMY: usize = 6;
 /// Leases after which a silent machine is given up.
@@ -253,6 +257,10 @@
                 need.queued += size * f64::from(count);
             }
             for _ in 0..count {
+                // A job of 100,000 tasks is no reason to list thousands of machines.
+                if need.wants.len() >= WANTS {
+                    break;
+                }
                 let open = |zone: &Zone| zone_allows(&spec, zone, &per_zone);
                 let fits = |bin: &Bin| {
                     bin.free.holds(&one)
@@ -317,7 +325,7 @@
             let Some(job) = self.jobs.get(&id) else { continue };
             let Some(limits) = limits(&self.config, &job.spec) else { continue };
             let mut count = 0;
-            while count < job.waiting().len() as u32
+            while count < (job.waiting().len() as u32).min(PLANNED)
                 && usage.allows(limits, job.spec.cpus, job.spec.gpus)
             {
                 usage.add(&limits.name, job.spec.cpus, job.spec.gpus);
@@ -423,3 +431,91 @@
     }
     best.map(|(_, offer, total)| (offer, total))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SETTINGS: &str = r#"
+host_name = "n0"
+area = "a"
+front = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment]
+teams = [{ name = "red" }]
+objectives = [{ kind = "wait", class = "chat", within_s = 10.0 }]
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 4.0
+cancel_s = 30.0
+[deployment.state]
+rps = 120.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 8
+[deployment.cloud]
+rps = 2.0
+list_lag_s = 5.0
+[deployment.limits]
+mem_mb = 56.0
+fd_limit = 700
+"#;
+
+    fn spec(class: &str, image: &str, image_gb: f64) -> Rc<JobSpec> {
+        let mut job = serde_json::json!({"c": class, "t": "red", "k": "standing", "p": "critical",
+            "n": 2, "cpu": 4.0, "gpu": 2.0, "mem": 16.0, "est": 0.0, "ck": 0.0, "sv": 0.0});
+        job["img"] = image.into();
+        job["igb"] = image_gb.into();
+        Rc::new(serde_json::from_value(job).unwrap())
+    }
+
+    fn types() -> Vec<MachineType> {
+        let of = |name: &str, gpus: f64, price: f64| MachineType {
+            name: name.into(),
+            cpus: 64.0,
+            gpus,
+            memory_gb: 256.0,
+            cache_gb: 200.0,
+            fetch_gb_per_s: 4.0,
+            price,
+            spot_price: price / 3.0,
+            boot_s: 10.0,
+            zones: vec!["a".into(), "b".into()],
+        };
+        vec![of("g4", 4.0, 10.0), of("g8", 8.0, 16.0)]
+    }
+
+    /// Only images that cannot be fetched in time make room worth holding back.
+    #[test]
+    fn tight_images_are_those_a_fetch_makes_late() {
+        let config = Config::parse(SETTINGS).unwrap();
+        let mut forecast = Forecast::default();
+        forecast.arrived(&spec("chat", "large", 60.0), 50.0);
+        forecast.arrived(&spec("chat", "large", 60.0), 1.0);
+        forecast.arrived(&spec("chat", "small", 20.0), 50.0);
+        forecast.arrived(&spec("other", "huge", 90.0), 50.0);
+        let tight = forecast.tight_images(&config, &types(), 55.0);
+        assert_eq!(tight.keys().map(Image::as_str).collect::<Vec<_>>(), ["large"]);
+        assert_eq!(tight[&Image::from("large")].1, 2, "the old arrival counts for no room");
+    }
+
+    /// The lowest price per task decides, then the zone with fewer machines; what the cloud has
+    /// none of is passed over.
+    #[test]
+    fn the_cheapest_offer_per_task_is_wanted() {
+        let (types, job) = (types(), spec("chat", "x", 1.0));
+        let need = need_of(&job);
+        let zones = BTreeMap::from([(Zone::from("a"), 3)]);
+        let best = |refused: &BTreeSet<Offer>| {
+            cheapest(&types, &job, &need, &|_| true, &zones, refused).map(|(offer, _)| offer)
+        };
+        let g8 = |zone: &str| (TypeName::from("g8"), Zone::from(zone), false);
+        assert_eq!(best(&BTreeSet::new()), Some(g8("b")));
+        assert_eq!(best(&BTreeSet::from([g8("b")])), Some(g8("a")));
+    }
+}
