--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -112,6 +112,10 @@
             which: number(rest.first()) as usize,
             seconds: number(rest.get(1)),
         },
+        "machine_faulty" => Fault::MachineFaulty {
+            which: number(rest.first()) as usize,
+            seconds: number(rest.get(1)),
+        },
         "notice" => Fault::MachineNotice {
             which: number(rest.first()) as usize,
             seconds: number(rest.get(1)),
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -58,6 +58,11 @@
         which: usize,
         seconds: f64,
     },
+    /// Every task that begins on it fails.
+    MachineFaulty {
+        which: usize,
+        seconds: f64,
+    },
     MachineNotice {
         which: usize,
         seconds: f64,
@@ -74,6 +79,7 @@
     Refuse(usize),
     Cut { a: Who, b: Who, hold: bool },
     Deaf(MachineId),
+    Faulty(MachineId),
     Copies,
 }
 
@@ -127,6 +133,10 @@
         self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Deaf(m) if m == machine))
     }
 
+    pub fn faulty(&self, machine: &MachineId) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Faulty(m) if m == machine))
+    }
+
     pub fn copies(&self) -> bool {
         self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Copies))
     }
@@ -214,6 +224,11 @@
                     lasting.push((seconds, Kind::Deaf(machine)));
                 }
             }
+            Fault::MachineFaulty { which, seconds } => {
+                if let Some(machine) = self.machine_at(which) {
+                    lasting.push((seconds, Kind::Faulty(machine)));
+                }
+            }
             Fault::MachineNotice { which, seconds } => {
                 if let Some(machine) = self.machine_at(which) {
                     self.notice(&machine, seconds);
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -327,10 +327,12 @@
         for (task, attempt) in due {
             let Some(spec) = self.users.spec(&task.job).cloned() else { continue };
             let run_s = self.users.run_s(&task);
+            let faulty = self.net.faulty(id);
             let Some(worker) = self.workers.get_mut(id) else { return };
             let Some(running) = worker.tasks.get_mut(&(task.clone(), attempt)) else { continue };
             worker.changed = true;
             match running.state {
+                TaskState::Waiting if faulty => exit(running, Exit::Error),
                 TaskState::Fetching => {
                     running.state = TaskState::Waiting;
                     running.until = now;
