The leader guards the map by the versions it continues, not by the view's

A map write with unknown outcome was applied late; the view showed it, the leader's own map did not, and its next write, guarded by the view's version, took a machine off the map whose tasks then counted as gone. Ruled out: lost leases and sessions.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -27,6 +27,9 @@
     pub(super) term: Version,
     started: Time,
     pub(super) map: PartMap,
+    /// The stored versions that `map` continues. Guarding by the view's would be wrong: a write
+    /// with unknown outcome may turn up there late, and the next would undo it.
+    base: BTreeMap<String, Version>,
     writing: bool,
     next_write: Time,
     /// The map as stored may differ from ours: a write failed or its outcome is unknown.
@@ -49,6 +52,7 @@
             term,
             started: now,
             map,
+            base: versions(view),
             writing: false,
             next_write: now,
             reread: false,
@@ -93,6 +97,7 @@
                 let map =
                     PartMap::new(self.term, view.map(), self.config.deployment.state.value_kb);
                 self.map.follow(map);
+                self.base = versions(view);
             }
             // A fresh deployment waits for its controllers, so that shares start equal.
             let all_here = living.len() >= self.config.controllers();
@@ -103,7 +108,7 @@
                 self.take_in(&living);
                 self.renumber(&living);
                 self.rebalance(&living, now);
-                self.write(io, view, guards);
+                self.write(io, guards);
             }
         }
         self.cloud_when_due(io, catalog, &living);
@@ -248,7 +253,7 @@
         self.needs = needs;
     }
 
-    fn write(&mut self, io: &mut Io, view: &View, mut guards: Vec<crate::wire::Guard>) {
+    fn write(&mut self, io: &mut Io, mut guards: Vec<crate::wire::Guard>) {
         let values = self.map.take_dirty(self.config.deployment.state.txn_ops);
         if values.is_empty() {
             return;
@@ -256,7 +261,7 @@
         guards.push(guard(LEADER_KEY, self.term));
         let mut writes = Vec::new();
         for (key, chunk) in &values {
-            guards.push(guard(key, view.map().get(key).map_or(0, |stored| stored.version)));
+            guards.push(guard(key, self.base.get(key).copied().unwrap_or(0)));
             writes.push(put(key, chunk, None));
         }
         self.writing = true;
@@ -280,6 +285,9 @@
         if let StateReply::Committed(version) = reply {
             for write in &write.writes {
                 view.apply_write(write, version);
+                if let Write::Put { key, .. } = write {
+                    self.base.insert(key.clone(), version);
+                }
             }
         }
         view.want_sync();
@@ -290,3 +298,7 @@
         }
     }
 }
+
+fn versions(view: &View) -> BTreeMap<String, Version> {
+    view.map().iter().map(|(key, stored)| (key.clone(), stored.version)).collect()
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -269,7 +269,11 @@
     let days = std::env::var("RANDOM_DAYS").unwrap_or_else(|_| "1-40".into());
     let (from, to) = days.split_once('-').unwrap();
     let mut failures = Vec::new();
-    for seed in from.parse::<u64>().unwrap()..=to.parse().unwrap() {
+    // Days that once broke a rule are played always: a late map write undone by the next (1456),
+    // a leader back by a voucher (321), a first report taken for a new session (23), a team gained
+    // before everybody saw the map (325).
+    let found = [1456, 321, 325];
+    for seed in (from.parse::<u64>().unwrap()..=to.parse().unwrap()).chain(found) {
         let day = random_day(seed);
         let world = play(&day);
         failures.extend(report(&format!("random day {seed}\n{day}"), &world));
