--- /dev/null
+++ b/src/core/gather.rs
@@ -0,0 +1,116 @@
+//! Gathering replicas: services end here and there, and what is left of them keeps machines that
+//! little runs on. When nothing waits and the plan has room to spare, the replicas of one machine
+//! at a time move to others that hold their images already, where they are up again at once; the
+//! empty machine is returned. Moving replicas is a drain, which the protocol allows.
+
+use super::Time;
+use super::jobs::zone_allows;
+use super::machines::{Held, Machine};
+use super::owner::Owner;
+use super::schedule::allowed;
+use super::supply::{Bin, Catalog};
+use crate::ids::{Attempt, JobId, MachineId, TaskId, Zone};
+use crate::wire::{Kind, TaskState};
+use std::collections::BTreeMap;
+
+/// A machine that might be emptied, with the replicas that would have to move.
+struct Source {
+    id: MachineId,
+    replicas: Vec<(TaskId, Attempt)>,
+    /// Its price for each replica that has to move.
+    worth: f64,
+}
+
+impl Owner {
+    /// Empties the machine that costs most for each replica on it, if all of them fit elsewhere.
+    pub(super) fn gather(&mut self, bins: &[Bin], catalog: &Catalog, now: Time) {
+        let sources = bins.iter().filter(|bin| !bin.planned);
+        let mut sources: Vec<Source> =
+            sources.filter_map(|bin| self.source(bin, catalog, now)).collect();
+        sources.sort_by(|a, b| b.worth.total_cmp(&a.worth));
+        let Some(source) = sources.into_iter().find(|source| self.fit_elsewhere(source, bins, now))
+        else {
+            return;
+        };
+        tracing::info!("{} is emptied: {} replicas move", source.id, source.replicas.len());
+        if let Some(machine) = self.machines.get_mut(&source.id) {
+            machine.emptying = true;
+        }
+        for (task, attempt) in source.replicas {
+            self.stop(&source.id, &task, attempt, 0.0);
+        }
+    }
+
+    fn source(&self, bin: &Bin, catalog: &Catalog, now: Time) -> Option<Source> {
+        let machine = self.machines.get(bin.machine.as_ref()?)?;
+        let live: Vec<(&(TaskId, Attempt), &Held)> =
+            machine.on.iter().filter(|(_, held)| !held.exited()).collect();
+        if !machine.usable(now) || machine.emptying || live.is_empty() {
+            return None;
+        }
+        let mut replicas = Vec::new();
+        for (key, held) in live {
+            let job = self.jobs.get(&key.0.job)?;
+            match job.spec.kind {
+                // Ends by itself before long.
+                Kind::Array => {}
+                Kind::Gang => return None,
+                Kind::Service => {
+                    let running = held.phase == super::machines::Phase::Seen(TaskState::Running);
+                    // A start that is stopped early does not count as one to its user.
+                    let settled = held
+                        .began
+                        .is_some_and(|b| now - b > self.config.deployment.workers.cancel_s);
+                    if !running || !settled || held.stop.is_some() {
+                        return None;
+                    }
+                    replicas.push(key.clone());
+                }
+            }
+        }
+        if replicas.is_empty() {
+            return None;
+        }
+        let worth = catalog.price(&machine.type_name, machine.spot) / replicas.len() as f64;
+        Some(Source { id: machine.id.clone(), replicas, worth })
+    }
+
+    /// Whether every replica finds room, beside what is planned, on machines in use that hold its
+    /// image.
+    fn fit_elsewhere(&self, source: &Source, bins: &[Bin], now: Time) -> bool {
+        let Some(from) = self.machines.get(&source.id) else { return false };
+        let mut free: Vec<_> = bins.iter().map(|bin| bin.free).collect();
+        let mut zones: BTreeMap<&JobId, BTreeMap<Zone, u32>> = BTreeMap::new();
+        for (task, _) in &source.replicas {
+            let Some(job) = self.jobs.get(&task.job) else { return false };
+            let need = job.need();
+            // Of several replicas of a job here each one's move counts for the next.
+            let counts = zones.entry(&task.job).or_insert_with(|| job.zones.clone());
+            if let Some(here) = counts.get_mut(&from.zone) {
+                *here = here.saturating_sub(1);
+            }
+            let suits = |bin: &Bin, machine: &Machine| {
+                machine.id != source.id
+                    && machine.usable(now)
+                    && !machine.emptying
+                    && (bin.planned || !machine.idle())
+                    && machine.has_image(&job.spec.image)
+                    && allowed(&job.spec, &machine.type_name, &machine.zone, machine.spot)
+                    && zone_allows(&job.spec, &machine.zone, counts)
+            };
+            let target = bins
+                .iter()
+                .enumerate()
+                .filter(|(at, _)| free[*at].holds(&need))
+                .filter(|(_, bin)| {
+                    let machine = bin.machine.as_ref().and_then(|id| self.machines.get(id));
+                    machine.is_some_and(|machine| suits(bin, machine))
+                })
+                .min_by(|(a, _), (b, _)| free[*a].gpus.total_cmp(&free[*b].gpus));
+            let Some((at, bin)) = target else { return false };
+            free[at] = free[at].less(&need);
+            *counts.entry(bin.offer.1.clone()).or_default() += 1;
+        }
+        true
+    }
+}
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -116,6 +116,8 @@
     /// Commands do not seem to reach it.
     pub suspect: bool,
     pub releasing: bool,
+    /// Its replicas move elsewhere and it is to be returned.
+    pub emptying: bool,
     /// It is to get a fresh token, so that what may still be under way to it is void.
     pub raise: bool,
     /// Jobs that failed on it.
@@ -165,6 +167,7 @@
             idle_since: now,
             suspect: false,
             releasing: false,
+            emptying: false,
             raise: false,
             failed_jobs: BTreeSet::new(),
             aside_until: 0.0,
@@ -238,6 +241,7 @@
         self.trusted = false;
         self.raise = false;
         self.releasing = false;
+        self.emptying = false;
     }
 
     /// Everything that may be on it is known.
@@ -285,6 +289,7 @@
             && self.mine
             && !self.suspect
             && !self.releasing
+            && !self.emptying
             && !self.raise
             && self.leaves.is_none()
             && now >= self.aside_until
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod authority;
 pub mod desk;
+pub mod gather;
 pub mod io;
 pub mod jobs;
 pub mod leader;
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -124,7 +124,7 @@
         for id in view.take_changed() {
             if let Some(stored) = view.job(&id) {
                 let (record, version) = (stored.record.clone(), stored.version);
-                self.take_job(&id, &record, version, (now, io.wall_ms), true);
+                self.take_job(&id, &record, version, (now, io.wall_ms));
             }
         }
         for machine in self.machines.values_mut() {
@@ -238,7 +238,7 @@
         for (id, stored) in view.jobs() {
             // One of our own writes, newer than the view, waits for the next sync.
             if of_team(&stored.record) && stored.version <= view.revision() {
-                self.take_job(id, &stored.record, stored.version, (io.now, io.wall_ms), false);
+                self.take_job(id, &stored.record, stored.version, (io.now, io.wall_ms));
             }
         }
     }
@@ -300,14 +300,13 @@
 
     // ---- jobs ----
 
-    /// A job's record is new or has changed. `new`: it appeared after its team came here.
+    /// A job's record is new or has changed.
     fn take_job(
         &mut self,
         id: &JobId,
         record: &Rc<JobRecord>,
         version: Version,
         (now, wall_ms): (Time, u64),
-        new: bool,
     ) {
         if record.is_final() {
             return self.job_over(id);
@@ -319,7 +318,12 @@
         }
         let Some(spec) = &record.spec else { return };
         let Some(team) = self.teams.get(&spec.team) else { return };
-        let settled = new || team.unsettled.is_empty();
+        // The team's former owner may have started everything that it could read before it saw the
+        // change of the map. A leader that takes the team for itself knows its own write before
+        // its next sync brings the jobs that came before that; so it is the versions that tell, not
+        // when a job appeared here. Progress is recorded only of what has run.
+        let unheard_of = version > team.gained && record.done.is_empty();
+        let settled = team.unsettled.is_empty() || unheard_of;
         let age = wall_ms.saturating_sub(record.accepted_ms) as f64 / 1e3;
         let mut job = Job::new(spec.clone(), record.clone(), version, now - age, settled);
         if job.is_gang() && !job.done.is_empty() {
@@ -460,7 +464,7 @@
                         held.forget |= task.job == id && done && record.done.contains(task.index);
                     }
                 }
-                self.take_job(&id, &record, version, (now, io.wall_ms), true);
+                self.take_job(&id, &record, version, (now, io.wall_ms));
             }
             other => {
                 // Cancelled meanwhile, or outcome unknown: the view tells before the next try.
@@ -530,3 +534,52 @@
     held.priority = spec.priority;
     held.save_s = if spec.checkpoint_s > 0.0 { spec.save_s } else { 0.0 };
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::part_map::{MapChunk, Owner as MapOwner, Share};
+    use super::super::view::MAP_PREFIX;
+    use super::*;
+    use rand::SeedableRng;
+
+    fn record(done: bool) -> JobRecord {
+        let spec = serde_json::json!({"c": "chat", "t": "red", "k": "standing", "p": "critical",
+            "n": 2, "cpu": 1.0, "gpu": 1.0, "mem": 1.0, "img": "i", "igb": 1.0, "est": 0.0,
+            "ck": 0.0, "sv": 0.0});
+        let mut ranges = super::super::ranges::Ranges::default();
+        if done {
+            ranges.insert(1);
+        }
+        let spec = Some(Rc::new(serde_json::from_value(spec).unwrap()));
+        JobRecord { stance: Stance::Pending, accepted_ms: 0, tasks: 2, done: ranges, spec }
+    }
+
+    /// A leader that gives itself a team has written the map before it has read the jobs that the
+    /// team's former owner read, and perhaps started, before that.
+    #[test]
+    fn only_jobs_from_after_the_gain_are_known_to_run_nowhere() {
+        let config = Rc::new(Config::parse(crate::config::TEST_SETTINGS).unwrap());
+        let mut io = Io::new(rand::rngs::StdRng::seed_from_u64(1));
+        let mut view = View::new(&config);
+        let owner = |node: &str| MapOwner {
+            node: node.into(),
+            incarnation: 1,
+            term: Term(9),
+            former: None,
+        };
+        let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
+        let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
+        let map = MapChunk { shares: vec![mine, other] };
+        view.apply_write(&put(&format!("{MAP_PREFIX}teams"), &map, None), 105);
+        let mut share = Owner::new(&config, 1, Hints::new(), 0.0);
+        share.follow_map(&mut io, &view);
+        let ids = ["req-000001", "req-000002", "req-000003"].map(JobId::from);
+        for (id, version, done) in
+            [(&ids[0], 100, false), (&ids[1], 107, true), (&ids[2], 108, false)]
+        {
+            share.take_job(id, &Rc::new(record(done)), version, (1.0, 0));
+        }
+        let unsettled = ids.map(|id| share.jobs[&id].unsettled());
+        assert_eq!(unsettled, [2, 1, 0], "before the gain; begun before it was seen; after it");
+    }
+}
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -141,8 +141,9 @@
                 continue;
             }
             let wanted = &waiting[..room];
-            // Warm room is for whom it is held, unless nothing else will do.
-            let mut chosen = self.choose(job, wanted.len(), &slots, now, whole, true);
+            // Warm room is for whom it is held, unless nothing else will do, or something that ran
+            // is down: that is missed now, what the room is held for only perhaps later.
+            let mut chosen = self.choose(job, wanted.len(), &slots, now, whole, !job.began);
             if chosen.len() < wanted.len() {
                 chosen = self.choose(job, wanted.len(), &slots, now, whole, false);
             }
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -39,6 +39,11 @@
         self.types.iter().find(|t| t.name == *name).map_or(60.0, |t| t.boot_s.max(1.0))
     }
 
+    pub fn price(&self, name: &TypeName, spot: bool) -> f64 {
+        let of_type = self.types.iter().find(|t| t.name == *name);
+        of_type.map_or(0.0, |t| if spot { t.spot_price } else { t.price })
+    }
+
     /// Whether a submission can never run; None while that cannot be told.
     pub fn refusal(&self, config: &Config, spec: &JobSpec) -> Option<bool> {
         if !self.known() {
@@ -184,11 +189,16 @@
 }
 
 /// Somewhere a task could go in a plan.
-struct Bin {
-    machine: Option<MachineId>,
-    offer: Offer,
-    free: Room,
-    used: bool,
+pub struct Bin {
+    pub machine: Option<MachineId>,
+    pub offer: Offer,
+    /// Beside what is on it and what is planned there.
+    pub free: Room,
+    pub used: bool,
+    /// To be returned unless nothing else will do.
+    emptying: bool,
+    /// Something that waits or is expected goes here.
+    pub planned: bool,
 }
 
 impl Core {
@@ -273,12 +283,14 @@
                     let dear = |bin: &Bin| spec.spot && !bin.offer.2;
                     (dear(a).cmp(&dear(b)))
                         .then(b.used.cmp(&a.used))
+                        .then(a.emptying.cmp(&b.emptying))
                         .then(a_left.0.total_cmp(&b_left.0))
                         .then(a_left.1.total_cmp(&b_left.1))
                 });
                 let zone = if let Some(bin) = best {
                     bin.free = bin.free.less(&one);
                     bin.used = true;
+                    bin.planned = true;
                     bin.offer.1.clone()
                 } else {
                     let found = cheapest(types, &spec, &one, &open, &in_zone, &self.refused);
@@ -289,12 +301,17 @@
                     need.wants.push(Want { offer: offer.clone(), any_of, urgency, gpus });
                     let zone = offer.1.clone();
                     *in_zone.entry(zone.clone()).or_default() += 1;
-                    bins.push(Bin { machine: None, offer, free: total.less(&one), used: true });
+                    let free = total.less(&one);
+                    let (used, emptying, planned) = (true, false, true);
+                    bins.push(Bin { machine: None, offer, free, used, emptying, planned });
                     zone
                 };
                 *per_zone.entry(zone).or_default() += 1;
             }
         }
+        if need.wants.is_empty() && need.queued == 0.0 {
+            self.gather(&bins, catalog, now);
+        }
         self.spare(&bins, catalog, now, need);
     }
 
@@ -312,7 +329,9 @@
                 machine: Some(machine.id.clone()),
                 offer: (machine.type_name.clone(), machine.zone.clone(), machine.spot),
                 free: machine.free_after_stops(),
-                used: !machine.idle(),
+                used: !machine.idle() && !machine.emptying,
+                emptying: machine.emptying,
+                planned: false,
             })
             .collect()
     }
@@ -352,6 +371,7 @@
             };
             let patience = catalog.boot_s(&machine.type_name) * IDLE_BOOTS;
             let spare = machine.trusted && machine.idle() && !bin.used;
+            machine.emptying &= !bin.planned && !machine.idle();
             let closed = spare && now - machine.idle_since > patience;
             self.changed |= machine.releasing && !closed;
             machine.releasing = closed;
@@ -436,36 +456,6 @@
 mod tests {
     use super::*;
 
-    const SETTINGS: &str = r#"
-host_name = "n0"
-area = "a"
-front = "127.0.0.1:1"
-mesh_addr = "127.0.0.1:2"
-[services]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[deployment]
-teams = [{ name = "red" }]
-objectives = [{ kind = "wait", class = "chat", within_s = 10.0 }]
-[deployment.workers]
-report_s = 1.0
-lease_s = 10.0
-gang_wait_s = 30.0
-gang_peer_s = 4.0
-cancel_s = 30.0
-[deployment.state]
-rps = 120.0
-write_rps = 25.0
-value_kb = 4.0
-txn_ops = 8
-[deployment.cloud]
-rps = 2.0
-list_lag_s = 5.0
-[deployment.limits]
-mem_mb = 56.0
-fd_limit = 700
-"#;
-
     fn spec(class: &str, image: &str, image_gb: f64) -> Rc<JobSpec> {
         let mut job = serde_json::json!({"c": class, "t": "red", "k": "standing", "p": "critical",
             "n": 2, "cpu": 4.0, "gpu": 2.0, "mem": 16.0, "est": 0.0, "ck": 0.0, "sv": 0.0});
@@ -493,7 +483,7 @@
     /// Only images that cannot be fetched in time make room worth holding back.
     #[test]
     fn tight_images_are_those_a_fetch_makes_late() {
-        let config = Config::parse(SETTINGS).unwrap();
+        let config = Config::parse(crate::config::TEST_SETTINGS).unwrap();
         let mut forecast = Forecast::default();
         forecast.arrived(&spec("chat", "large", 60.0), 50.0);
         forecast.arrived(&spec("chat", "large", 60.0), 1.0);
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -181,6 +181,7 @@
         let news = std::mem::replace(&mut held.phase, phase.clone()) != phase;
         if held.has_image() && held.began.is_none() {
             held.began = Some(now);
+            tracing::debug!("{task} has its image on {id} after {:.1} s", now - held.issued);
             if let Some((image, gb)) = held.image.clone() {
                 machine.used_image(&image, gb);
             }
