--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -188,12 +188,16 @@
             let teams = self.map.owners.teams.iter().filter(|(_, owner)| of(owner));
             let teams: Vec<Team> = teams.map(|(team, _)| team.clone()).collect();
             let machines = self.map.owners.machines.iter().filter(|(_, owner)| of(owner));
-            let machines: Vec<MachineId> = machines.map(|(id, _)| id.clone()).collect();
+            // Whom it had a machine from, if that lives, may still have to let go of it.
+            let lives = |former: &Process| living.get(&former.0) == Some(&former.1);
+            let machines: Vec<(MachineId, Option<Process>)> = machines
+                .map(|(id, owner)| (id.clone(), owner.former.clone().filter(lives)))
+                .collect();
             for team in teams {
                 self.give_team(&team, &heir, incarnation);
             }
-            for id in machines {
-                self.give_machine(&id, &heir, incarnation, None);
+            for (id, former) in machines {
+                self.give_machine(&id, &heir, incarnation, former);
             }
         }
     }
--- a/src/core/news.rs
+++ b/src/core/news.rs
@@ -72,7 +72,7 @@
         let (mut settled, mut facts, mut wishes) = (Vec::new(), Vec::new(), Vec::new());
         let tells = self.listeners.contains(node);
         for machine in self.machines.values() {
-            if machine.mine && machine.settled() && tells {
+            if machine.mine && machine.settled() && tells && all_known(machine, view) {
                 settled.push((machine.id.clone(), machine.token));
                 let tasks = tasks_of(machine, &theirs);
                 if !tasks.is_empty() {
@@ -245,6 +245,15 @@
     }
 }
 
+/// Whether it is known of every task there whose it is. A leader has a machine by its own write
+/// before it has read the jobs that came before that; what it does not know of it cannot pass on,
+/// and its owner would take the machine to be without it.
+fn all_known(machine: &Machine, view: &View) -> bool {
+    machine.on.iter().all(|((task, _), held)| {
+        held.team.is_some() || view.job(&task.job).is_some_and(|job| job.record.is_final())
+    })
+}
+
 fn tasks_of(machine: &Machine, teams: &BTreeSet<&Team>) -> Vec<ReportedTask> {
     let of_teams = |team: &Option<Team>| team.as_ref().is_some_and(|team| teams.contains(team));
     let held = machine.on.iter().filter(|(_, held)| of_teams(&held.team));
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -142,7 +142,7 @@
                 machine.answered = machine.answered.max(now);
             }
         }
-        self.expire_machines(now);
+        self.expire_machines(view, now);
         self.settle_when_known(view);
         self.record_progress(io);
         let report_s = self.config.deployment.workers.report_s;
@@ -170,15 +170,19 @@
             let mine = mine(owner);
             match self.machines.get_mut(id) {
                 Some(machine) if machine.mine != mine || machine.token != owner.term => {
+                    // A fresh token says nothing of whether a former owner has let go.
+                    let former = machine.former.take().filter(|_| machine.mine);
                     machine.change_hands(owner.term, mine, now);
-                    machine.former = owner.former.clone().filter(|_| mine);
+                    let former = owner.former.clone().or(former);
+                    machine.former = former.filter(|(node, _)| mine && *node != self.config.node);
                     machine.gained = view.map_revision();
                     self.changed = true;
                 }
                 None if mine => {
                     let mut machine = Machine::named(id.clone(), owner.term, now);
                     machine.mine = true;
-                    machine.former = owner.former.clone();
+                    let sibling = |(node, _): &Process| *node != self.config.node;
+                    machine.former = owner.former.clone().filter(sibling);
                     machine.gained = view.map_revision();
                     self.machines.insert(id.clone(), machine);
                 }
@@ -554,24 +558,74 @@
         JobRecord { stance: Stance::Pending, accepted_ms: 0, tasks: 2, done: ranges, spec }
     }
 
+    fn share() -> (Owner, Io, View) {
+        let config = Rc::new(Config::parse(crate::config::TEST_SETTINGS).unwrap());
+        let io = Io::new(rand::rngs::StdRng::seed_from_u64(1));
+        (Owner::new(&config, 1, Hints::new(), 0.0), io, View::new(&config))
+    }
+
+    fn map(view: &mut View, version: Version, shares: Vec<Share>) {
+        view.apply_write(&put(&format!("{MAP_PREFIX}m0000"), &MapChunk { shares }, None), version);
+    }
+
+    fn owner(node: &str) -> MapOwner {
+        MapOwner { node: node.into(), incarnation: 1, term: Term(9), former: None }
+    }
+
+    /// Its owner may have changed without this process having read so; then somebody else answers
+    /// it, and its tasks live on (hunted days of a starved controller).
+    #[test]
+    fn a_silent_machine_is_empty_only_by_a_map_read_after_its_lease() {
+        let (mut share, mut io, mut view) = share();
+        let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
+        map(&mut view, 5, vec![mine]);
+        share.follow_map(&mut io, &view);
+        view.current_as_of = 9.0;
+        share.expire_machines(&view, 60.0);
+        assert!(!share.machines[&MachineId::from("m-1")].empty);
+        view.current_as_of = 59.0;
+        share.expire_machines(&view, 60.0);
+        assert!(share.machines[&MachineId::from("m-1")].empty);
+    }
+
+    /// A leader owns a machine by its own write, before it has read the jobs that came before.
+    #[test]
+    fn a_machine_with_unknown_tasks_is_not_told_as_settled() {
+        let (mut share, mut io, mut view) = share();
+        let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
+        let other = Share { owner: owner("n1"), teams: vec!["red".into()], machines: vec![] };
+        map(&mut view, 5, vec![mine, other]);
+        share.follow_map(&mut io, &view);
+        share.listeners.insert("n1".into());
+        let id = MachineId::from("m-1");
+        share.machines.get_mut(&id).unwrap().trusted = true;
+        let task = TaskId { job: "req-000001".into(), index: 0 };
+        let shown = crate::wire::ReportedTask {
+            task: task.to_string(),
+            attempt: Attempt(1),
+            state: crate::wire::TaskState::Running,
+            why: None,
+            saved: None,
+        };
+        share.take_task(&mut io, &view, &id, task.clone(), &shown);
+        let news = |share: &Owner, view: &View| {
+            let news = share.news_for(&"n1".into(), view, None, Hints::new());
+            (news.settled.len(), news.facts.len())
+        };
+        assert_eq!(news(&share, &view), (0, 0));
+        view.apply_write(&put(&job_key(&task.job), &record(false), None), 4);
+        share.take_task(&mut io, &view, &id, task, &shown);
+        assert_eq!(news(&share, &view), (1, 1));
+    }
+
     /// A leader that gives itself a team has written the map before it has read the jobs that the
     /// team's former owner read, and perhaps started, before that.
     #[test]
     fn only_jobs_from_after_the_gain_are_known_to_run_nowhere() {
-        let config = Rc::new(Config::parse(crate::config::TEST_SETTINGS).unwrap());
-        let mut io = Io::new(rand::rngs::StdRng::seed_from_u64(1));
-        let mut view = View::new(&config);
-        let owner = |node: &str| MapOwner {
-            node: node.into(),
-            incarnation: 1,
-            term: Term(9),
-            former: None,
-        };
+        let (mut share, mut io, mut view) = share();
         let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
         let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
-        let map = MapChunk { shares: vec![mine, other] };
-        view.apply_write(&put(&format!("{MAP_PREFIX}teams"), &map, None), 105);
-        let mut share = Owner::new(&config, 1, Hints::new(), 0.0);
+        map(&mut view, 105, vec![mine, other]);
         share.follow_map(&mut io, &view);
         let ids = ["req-000001", "req-000002", "req-000003"].map(JobId::from);
         for (id, version, done) in
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -171,13 +171,12 @@
             TaskState::Exited => Phase::Exited(reported.why.unwrap_or(Exit::Other)),
             state => Phase::Seen(state),
         };
-        let held = machine.on.entry((task.clone(), attempt)).or_insert_with(|| {
-            let mut held = Held::new(now);
-            if let Some(spec) = stored.and_then(|record| record.spec.as_ref()) {
-                describe(&mut held, spec);
-            }
-            held
-        });
+        let held = machine.on.entry((task.clone(), attempt)).or_insert_with(|| Held::new(now));
+        if held.team.is_none()
+            && let Some(spec) = stored.and_then(|record| record.spec.as_ref())
+        {
+            describe(held, spec);
+        }
         let news = std::mem::replace(&mut held.phase, phase.clone()) != phase;
         if held.has_image() && held.began.is_none() {
             held.began = Some(now);
@@ -300,12 +299,14 @@
         }
     }
 
-    /// Machines whose lease must have run out are empty.
-    pub(super) fn expire_machines(&mut self, now: Time) {
-        let lease = self.lease();
+    /// Machines whose lease must have run out are empty: nobody else was entitled to answer them
+    /// until then, which only a map read after that can tell. A process that lives on vouchers, or
+    /// whose reads are slow, may otherwise take a machine for silent that has moved to a sibling.
+    pub(super) fn expire_machines(&mut self, view: &View, now: Time) {
+        let (lease, current) = (self.lease(), view.current_as_of);
         let ours = self.machines.values().filter(|m| m.mine && !m.empty && m.former.is_none());
         let expired: Vec<MachineId> =
-            ours.filter(|m| now > m.answered + lease).map(|m| m.id.clone()).collect();
+            ours.filter(|m| current > m.answered + lease).map(|m| m.id.clone()).collect();
         for id in expired {
             let Some(machine) = self.machines.get_mut(&id) else { continue };
             let gone: Vec<_> = machine.on.keys().cloned().collect();
