A session known from before a hand-over ends nothing at the new owner

The first report then looked like a new session, everything the former owner had told of was dropped and started elsewhere.

--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -86,6 +86,8 @@
     pub fetch_rate: f64,
     cache_gb: f64,
     pub session: u64,
+    /// The session was seen under a token of this owner, so that a higher one ends what is here.
+    session_ours: bool,
     /// Newest message of the session taken up, and newest report among them.
     seq: u64,
     checkin: u64,
@@ -151,6 +153,7 @@
             fetch_rate: 0.0,
             cache_gb: 0.0,
             session: 0,
+            session_ours: false,
             seq: 0,
             checkin: 0,
             over: 0,
@@ -199,14 +202,16 @@
         if report.session < self.session || report.session <= self.over {
             return Freshness::Copy;
         }
-        // Of a machine that comes from another owner the session is not known before it reports,
-        // so its first report here says nothing about an earlier one.
-        let new_session = report.session > self.session && self.session > 0;
+        // Of a machine that comes from another owner the session is known only once it has shown
+        // our token. What was known when it was here before, or from the copy of an old report, may
+        // be older than the tasks that its former owner told of.
+        let new_session = report.session > self.session && self.session_ours;
         if report.session > self.session {
             self.session = report.session;
             self.seq = 0;
             self.checkin = 0;
         }
+        self.session_ours |= report.token == self.token;
         if !direct {
             if report.seq <= self.checkin {
                 return Freshness::Copy;
@@ -235,6 +240,7 @@
             // Its former owner may have answered it until now.
             self.answered = now;
             self.empty = false;
+            self.session_ours = false;
         }
         self.mine = mine;
         self.token = token;
@@ -402,6 +408,24 @@
         assert_eq!(machine.freshness(&report(2, 1), false), Freshness::News { new_session: true });
     }
 
+    /// Its lease ran out under another owner, whose tasks then came here with it: they live in the
+    /// later session (broken rules on hunted days, seconds after a move of a machine that had been
+    /// cut off before).
+    #[test]
+    fn a_session_from_before_the_hand_over_ends_nothing() {
+        let mut machine = Machine::named("m-1".into(), Term(1), 0.0);
+        machine.mine = true;
+        assert_eq!(machine.freshness(&report(1, 5), false), Freshness::News { new_session: false });
+        machine.change_hands(Term(2), false, 1.0);
+        machine.change_hands(Term(3), true, 2.0);
+        // Without our token: first a copy from long ago, then the living machine.
+        assert_eq!(machine.freshness(&report(1, 7), false), Freshness::News { new_session: false });
+        assert_eq!(machine.freshness(&report(2, 1), false), Freshness::News { new_session: false });
+        let shows = |session, seq| Report { token: Term(3), ..report(session, seq) };
+        assert_eq!(machine.freshness(&shows(2, 2), false), Freshness::News { new_session: false });
+        assert_eq!(machine.freshness(&shows(3, 1), false), Freshness::News { new_session: true });
+    }
+
     #[test]
     fn the_least_recently_used_image_leaves_the_cache() {
         let mut machine = Machine::named("m-1".into(), Term(1), 0.0);
