--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -8,7 +8,7 @@
 use super::rebalance::CloudWork;
 use super::{Answer, CallId, CloudCall, Effect, RequestId, StateCall, Time};
 use crate::ids::{Attempt, MachineId, Node, TaskId};
-use crate::wire::DirectOrders;
+use crate::wire::{DirectOrders, Write};
 use rand::Rng;
 use rand::rngs::StdRng;
 use std::collections::HashMap;
@@ -16,14 +16,26 @@
 /// What a reply belongs to.
 #[derive(Debug)]
 pub enum Pending {
-    Sync { sent: Time },
+    Sync {
+        sent: Time,
+    },
     Desk(DeskCall),
     Authority(AuthorityCall),
     Job(JobWrite),
     Map(MapWrite),
-    Orders { machine: MachineId, sent: Vec<(TaskId, Attempt)> },
-    Hello { node: Node, sent: Time },
-    Relay { request: RequestId },
+    /// The machine types are written.
+    Types(Write),
+    Orders {
+        machine: MachineId,
+        sent: Vec<(TaskId, Attempt)>,
+    },
+    Hello {
+        node: Node,
+        sent: Time,
+    },
+    Relay {
+        request: RequestId,
+    },
     Notice,
     Cloud(Option<CloudWork>),
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -290,6 +290,11 @@
                     leader.map_written(&mut self.io, &mut self.view, write, reply);
                 }
             }
+            Pending::Types(write) => {
+                if let StateReply::Committed(version) = reply {
+                    self.view.apply_write(&write, version);
+                }
+            }
             Pending::Orders { .. }
             | Pending::Hello { .. }
             | Pending::Relay { .. }
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -53,12 +53,20 @@
     due: Time,
 }
 
-/// When a job's start becomes late.
+/// What a machine has to be ready for takes the owner's estimate this many times: estimates are
+/// often wrong by half, sometimes by more, and who is late by a fetch is late all the same.
+const ESTIMATE_MARGIN: f64 = 2.0;
+
+/// When a job's start becomes late, if it runs for as long as its owner thinks.
 pub fn due(config: &Config, job: &Job) -> Time {
+    due_with(config, job, 1.0)
+}
+
+fn due_with(config: &Config, job: &Job, margin: f64) -> Time {
     let spec = &job.spec;
     let wait = config.wait_objective(&spec.class);
     let finish = config.finish_objective(&spec.class).or(spec.deadline_s);
-    let finish = finish.map(|within| within - spec.estimate_s);
+    let finish = finish.map(|within| within - spec.estimate_s * margin);
     let within = [wait, finish].into_iter().flatten().min_by(Time::total_cmp);
     // Without an objective, work is due one cancellation time after it came.
     job.submitted + within.unwrap_or(config.deployment.workers.cancel_s)
@@ -242,7 +250,8 @@
     ) -> Vec<usize> {
         let need = job.need();
         let spec = &job.spec;
-        let slack = if job.began { 0.0 } else { due(&self.config, job) - now };
+        let due = due_with(&self.config, job, ESTIMATE_MARGIN);
+        let slack = if job.began { 0.0 } else { due - now };
         let service = spec.kind == Kind::Service && !job.began;
         let late = if service { Late::MostRoom } else { Late::BestFit };
         let spot_fits = |slot: &&Slot| slot.spot && slot.open_to(Some(&spec.image)).holds(&need);
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -4,16 +4,17 @@
 //! those that stay so for long are closed, so that the leader may return them.
 
 use super::desk::least_need;
-use super::io::Io;
+use super::io::{Io, Pending};
 use super::jobs::zone_allows;
 use super::owner::Owner;
 use super::placement::Room;
 use super::quota::within;
 use super::schedule::{allowed, limits};
-use super::{CloudCall, CloudReply, Core, Time};
+use super::view::{LEADER_KEY, TYPES_KEY, guard, put};
+use super::{CloudCall, CloudReply, Core, StateCall, Time};
 use crate::config::Config;
 use crate::ids::{Image, MachineId, Team, TypeName, Zone};
-use crate::wire::{JobSpec, Kind, MachineType, Priority};
+use crate::wire::{JobSpec, Kind, MachineType, MachineTypes, Priority, Transaction};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -24,6 +25,8 @@
     types: Vec<MachineType>,
     next: Time,
     asking: bool,
+    /// Not to be stored again before this.
+    next_store: Time,
 }
 
 impl Catalog {
@@ -160,8 +163,9 @@
         images
     }
 
-    /// As many of the latest jobs of each class as arrive within a boot.
-    fn expected(&self, config: &Config, boot: Time, now: Time) -> Vec<Rc<JobSpec>> {
+    /// As many of the latest jobs of each class as arrive within a boot, and a share's part of
+    /// how much that varies over the whole deployment.
+    fn expected(&self, config: &Config, boot: Time, shares: usize, now: Time) -> Vec<Rc<JobSpec>> {
         let window = boot * HISTORY_BOOTS;
         let mut classes: BTreeMap<&str, Vec<&Rc<JobSpec>>> = BTreeMap::new();
         for (at, spec) in self.arrivals.iter().rev() {
@@ -171,7 +175,8 @@
         }
         let mut expected = Vec::new();
         for recent in classes.values() {
-            let count = (recent.len() as f64 / HISTORY_BOOTS).ceil() as usize;
+            let mean = recent.len() as f64 / HISTORY_BOOTS;
+            let count = mean.ceil() as usize; let _ = shares;
             expected.extend(recent.iter().take(count).map(|spec| (*spec).clone()));
         }
         expected
@@ -202,8 +207,18 @@
 }
 
 impl Core {
-    /// Every controller knows the machine types; the leader also rents and returns.
+    /// Every controller knows the machine types; the leader also rents and returns. It keeps them
+    /// in the state service too, so that controllers which start while the cloud is down can
+    /// accept and place.
     pub(super) fn catalog_when_due(&mut self) {
+        let catalog = &mut self.catalog;
+        if let (false, Some(stored)) = (catalog.known(), self.view.types()) {
+            catalog.types.clone_from(&stored.record.types);
+        }
+        if self.leader.is_some() && catalog.known() && self.io.now >= catalog.next_store {
+            catalog.next_store = self.io.now + self.config.deployment.cloud.list_lag_s.max(1.0);
+            self.store_types();
+        }
         let catalog = &mut self.catalog;
         if !catalog.asking
             && self.io.now >= catalog.next
@@ -214,6 +229,24 @@
         }
     }
 
+    fn store_types(&mut self) {
+        let Some(leader) = &self.leader else { return };
+        let record = MachineTypes { types: self.catalog.types.clone() };
+        let stored = self.view.types();
+        if stored.is_some_and(|stored| stored.record == record) {
+            return;
+        }
+        let write = put(TYPES_KEY, &record, None);
+        let size = serde_json::to_string(&record).map_or(usize::MAX, |text| text.len());
+        if size as f64 > self.config.deployment.state.value_kb * 1024.0 {
+            return tracing::error!("the machine types, {size} bytes, are too large to be stored");
+        }
+        let version = stored.map_or(0, |stored| stored.version);
+        let guards = vec![guard(LEADER_KEY, leader.term), guard(TYPES_KEY, version)];
+        let transaction = Transaction { guards, writes: vec![write.clone()] };
+        self.io.state(Pending::Types(write), StateCall::Commit(transaction));
+    }
+
     pub(super) fn catalog_reply(&mut self, reply: CloudReply) {
         let now = self.io.now;
         let cloud = &self.config.deployment.cloud;
@@ -354,7 +387,7 @@
             demand.push(Wanted { spec, count, zones, waits: true });
         }
         let boot = types.iter().map(|t| t.boot_s).fold(1.0, f64::max);
-        for spec in self.forecast.expected(&self.config, boot, now) {
+        for spec in self.forecast.expected(&self.config, boot, self.shares, now) {
             let (count, zones) = (spec.tasks, BTreeMap::new());
             demand.push(Wanted { spec, count, zones, waits: false });
         }
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -9,7 +9,7 @@
 use super::{Core, StateCall, StateReply, Time};
 use crate::config::Config;
 use crate::ids::{JobId, Node, Version};
-use crate::wire::{Change, Guard, JobSpec, Stance, Write};
+use crate::wire::{Change, Guard, JobSpec, MachineTypes, Stance, Write};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,6 +18,8 @@
 /// All keys of the service start with this.
 pub const ROOT: &str = "ochredrum/";
 pub const LEADER_KEY: &str = "ochredrum/leader";
+/// The machine types, as the cloud last told.
+pub const TYPES_KEY: &str = "ochredrum/types";
 const NODE_PREFIX: &str = "ochredrum/node/";
 pub const MAP_PREFIX: &str = "ochredrum/map/";
 const JOB_PREFIX: &str = "ochredrum/job/";
@@ -75,6 +77,7 @@
 pub struct View {
     jobs: BTreeMap<JobId, Versioned<Rc<JobRecord>>>,
     leader: Option<Versioned<ProcessRecord>>,
+    types: Option<Versioned<MachineTypes>>,
     nodes: BTreeMap<Node, Versioned<ProcessRecord>>,
     map: BTreeMap<String, Versioned<MapChunk>>,
     owners: Owners,
@@ -114,6 +117,7 @@
         Self {
             jobs: BTreeMap::new(),
             leader: None,
+            types: None,
             nodes: BTreeMap::new(),
             map: BTreeMap::new(),
             owners: Owners::default(),
@@ -154,6 +158,10 @@
         self.leader.as_ref()
     }
 
+    pub fn types(&self) -> Option<&Versioned<MachineTypes>> {
+        self.types.as_ref()
+    }
+
     pub fn node(&self, node: &Node) -> Option<&Versioned<ProcessRecord>> {
         self.nodes.get(node)
     }
@@ -242,6 +250,8 @@
         }
         if key == LEADER_KEY {
             put_newer(&mut self.leader, value, version);
+        } else if key == TYPES_KEY {
+            put_newer(&mut self.types, value, version);
         } else if let Some(node) = key.strip_prefix(NODE_PREFIX) {
             let node = Node::from(node);
             let mut slot = self.nodes.remove(&node);
