--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -42,8 +42,6 @@
     pub(super) machines: BTreeMap<MachineId, Machine>,
     pub(super) teams: BTreeMap<Team, OwnedTeam>,
     map_seen: Option<u64>,
-    /// Controllers that have teams.
-    pub(super) shares: usize,
     /// Machines that have orders to be sent at once.
     pub(super) push: BTreeSet<MachineId>,
     /// Something changed that placement may profit from.
@@ -103,7 +101,6 @@
             machines: BTreeMap::new(),
             teams: BTreeMap::new(),
             map_seen: None,
-            shares: 1,
             push: BTreeSet::new(),
             changed: true,
             scheduled: now,
@@ -168,7 +165,6 @@
         }
         let now = io.now;
         let owners = view.owners();
-        self.shares = owners.teams.values().map(|o| &o.node).collect::<BTreeSet<_>>().len();
         let mine = |o: &part_map::Owner| o.is(&self.config.node, self.incarnation);
         for (id, owner) in &owners.machines {
             let mine = mine(owner);
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -163,9 +163,8 @@
         images
     }
 
-    /// As many of the latest jobs of each class as arrive within a boot, and a share's part of
-    /// how much that varies over the whole deployment.
-    fn expected(&self, config: &Config, boot: Time, shares: usize, now: Time) -> Vec<Rc<JobSpec>> {
+    /// As many of the latest jobs of each class as arrive within a boot.
+    fn expected(&self, config: &Config, boot: Time, now: Time) -> Vec<Rc<JobSpec>> {
         let window = boot * HISTORY_BOOTS;
         let mut classes: BTreeMap<&str, Vec<&Rc<JobSpec>>> = BTreeMap::new();
         for (at, spec) in self.arrivals.iter().rev() {
@@ -175,8 +174,7 @@
         }
         let mut expected = Vec::new();
         for recent in classes.values() {
-            let mean = recent.len() as f64 / HISTORY_BOOTS;
-            let count = mean.ceil() as usize; let _ = shares;
+            let count = (recent.len() as f64 / HISTORY_BOOTS).ceil() as usize;
             expected.extend(recent.iter().take(count).map(|spec| (*spec).clone()));
         }
         expected
@@ -387,7 +385,7 @@
             demand.push(Wanted { spec, count, zones, waits: true });
         }
         let boot = types.iter().map(|t| t.boot_s).fold(1.0, f64::max);
-        for spec in self.forecast.expected(&self.config, boot, self.shares, now) {
+        for spec in self.forecast.expected(&self.config, boot, now) {
             let (count, zones) = (spec.tasks, BTreeMap::new());
             demand.push(Wanted { spec, count, zones, waits: false });
         }
