--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -318,6 +318,12 @@
         self.images.iter().any(|(known, _)| known == image)
     }
 
+    /// Seconds for the longest fetch of what it holds.
+    pub fn longest_fetch(&self) -> Time {
+        let largest = self.images.iter().map(|(_, gb)| *gb).fold(0.0, f64::max);
+        if self.fetch_rate > 0.0 { largest / self.fetch_rate } else { 0.0 }
+    }
+
     pub fn images(&self) -> &[(Image, f64)] {
         &self.images
     }
