--- a/src/core/gather.rs
+++ b/src/core/gather.rs
@@ -8,7 +8,7 @@
 use super::machines::{Held, Machine};
 use super::owner::Owner;
 use super::schedule::allowed;
-use super::supply::{Bin, Catalog};
+use super::supply::{Bin, Catalog, is_tight};
 use crate::ids::{Attempt, JobId, MachineId, TaskId, Zone};
 use crate::wire::{Kind, TaskState};
 use std::collections::BTreeMap;
@@ -55,6 +55,8 @@
                 // Ends by itself before long.
                 Kind::Array => {}
                 Kind::Gang => return None,
+                // Room where such an image is, is scarce, and a move that ends elsewhere is felt.
+                Kind::Service if is_tight(&self.config, catalog.types(), &job.spec) => return None,
                 Kind::Service => {
                     let running = held.phase == super::machines::Phase::Seen(TaskState::Running);
                     // A start that is stopped early does not count as one to its user.
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -149,12 +149,10 @@
         types: &[MachineType],
         now: Time,
     ) -> BTreeMap<Image, (Rc<JobSpec>, u32)> {
-        let rate = types.iter().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
         let boot = types.iter().map(|t| t.boot_s).fold(1.0, f64::max);
         let mut images: BTreeMap<Image, (Rc<JobSpec>, u32)> = BTreeMap::new();
         for (at, spec) in self.arrivals.iter().rev() {
-            let within = config.wait_objective(&spec.class);
-            if spec.kind == Kind::Service && within.is_some_and(|s| s * rate < spec.image_gb) {
+            if is_tight(config, types, spec) {
                 let fresh = || (spec.clone(), 0);
                 let entry = images.entry(spec.image.clone()).or_insert_with(fresh);
                 entry.1 += if now - at <= boot * HISTORY_BOOTS { spec.tasks } else { 0 };
@@ -429,6 +427,13 @@
     }
 }
 
+/// Whether a replica's start is in time only where its image is already.
+pub fn is_tight(config: &Config, types: &[MachineType], spec: &JobSpec) -> bool {
+    let rate = types.iter().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
+    let within = config.wait_objective(&spec.class);
+    spec.kind == Kind::Service && within.is_some_and(|s| s * rate < spec.image_gb)
+}
+
 /// Every kind of machine that may run the task.
 fn offers(
     types: &[MachineType],
