--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -210,6 +210,41 @@
     assert!(!a.log.is_empty());
 }
 
+/// What ten more tasks cost on a fleet of this many machines, most of which run two replicas.
+fn cost_of_ten_tasks(machines: usize) -> world::Work {
+    let text = format!(
+        "controllers 5\nmachines {machines}\nat 2 job service {} gpus=3\nuntil 40",
+        machines * 2 - 4
+    );
+    let mut world = play(&text);
+    let before = world.work;
+    for _ in 0..5 {
+        world.add_job(world.now + 1.0, spec(Kind::Service, 2), 0.0);
+    }
+    world.run(world.now + 20.0);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    world::Work {
+        state_requests: world.work.state_requests - before.state_requests,
+        state_bytes: world.work.state_bytes - before.state_bytes,
+        mesh_bytes: world.work.mesh_bytes - before.mesh_bytes,
+        orders: world.work.orders - before.orders,
+    }
+}
+
+/// The same change costs the same state requests on a fleet four times as large; what controllers
+/// tell one another grows with the fleet at most (the state of a share is told whole).
+#[test]
+fn work_grows_with_what_changes() {
+    let (small, large) = (cost_of_ten_tasks(60), cost_of_ten_tasks(240));
+    println!("{small:?}\n{large:?}");
+    assert!(small.state_requests > 0 && small.orders > 0 && small.mesh_bytes > 0);
+    let grew = |what: fn(&world::Work) -> usize| what(&large) as f64 / what(&small) as f64;
+    assert!(grew(|w| w.state_requests) <= 1.2, "{small:?} {large:?}");
+    assert!(grew(|w| w.state_bytes) <= 1.5, "{small:?} {large:?}");
+    assert!(grew(|w| w.mesh_bytes) <= 4.0, "{small:?} {large:?}");
+    assert!(grew(|w| w.orders) <= 1.5, "{small:?} {large:?}");
+}
+
 /// A day of random work and overlapping faults, calm in its last part.
 fn random_day(seed: u64) -> String {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -161,6 +161,17 @@
     net: Network,
     pub broken: Vec<String>,
     pub log: Vec<String>,
+    pub work: Work,
+}
+
+/// What the controllers asked of others so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Work {
+    pub state_requests: usize,
+    /// Written to the state service.
+    pub state_bytes: usize,
+    pub mesh_bytes: usize,
+    pub orders: usize,
 }
 
 impl World {
@@ -186,6 +197,7 @@
             net: Network::default(),
             broken: Vec::new(),
             log: Vec::new(),
+            work: Work::default(),
         };
         for node in 0..controllers {
             world.at(0.1 * node as f64, Event::Restart { node });
@@ -415,6 +427,11 @@
                 }
             }
             Effect::State(call, what) => {
+                self.work.state_requests += 1;
+                if let StateCall::Commit(transaction) = &what {
+                    let text = serde_json::to_string(transaction);
+                    self.work.state_bytes += text.map_or(0, |text| text.len());
+                }
                 let lost = Box::new(Input::State(call, StateReply::Unknown));
                 let unsent = Box::new(Input::State(call, StateReply::Refused));
                 let event = Event::State { node, epoch, call, what };
@@ -427,6 +444,7 @@
                 self.send(me, Who::Cloud, LEASE_S / 3.0, event, node, lost, unsent);
             }
             Effect::Worker(call, address, orders) => {
+                self.work.orders += 1;
                 let lost = Box::new(Input::Worker(call, WorkerReply::Unknown));
                 let unsent = Box::new(Input::Worker(call, WorkerReply::NotSent));
                 let machine = MachineId::from(address.as_str());
@@ -436,6 +454,9 @@
             }
             Effect::Mesh(call, to, message) => {
                 let Some(to) = index(&to) else { return };
+                let mut body = Vec::new();
+                ciborium::into_writer(&message, &mut body).ok();
+                self.work.mesh_bytes += body.len();
                 let lost = Box::new(Input::MeshReply(call, None));
                 let unsent = Box::new(Input::MeshReply(call, None));
                 let message = Box::new(Input::Mesh(RequestId(0), message));
