--- a/src/core/gather.rs
+++ b/src/core/gather.rs
@@ -1,11 +1,11 @@
 //! Gathering replicas: services end here and there, and what is left of them keeps machines that
 //! little runs on. When nothing waits and the plan has room to spare, the replicas of one machine
-//! at a time move to others that hold their images already, where they are up again at once; the
-//! empty machine is returned. Moving replicas is a drain, which the protocol allows.
+//! at a time move to others that hold their images already, where they are up again at once;
+//! the empty machine serves what needs it whole, or is returned in time. Moving replicas is a drain, which the protocol allows.
 
 use super::Time;
 use super::jobs::zone_allows;
-use super::machines::{Held, Machine};
+use super::machines::{Held, Machine, Phase};
 use super::owner::Owner;
 use super::schedule::allowed;
 use super::supply::{Bin, Catalog, is_tight};
@@ -58,7 +58,7 @@
                 // Room where such an image is, is scarce, and a move that ends elsewhere is felt.
                 Kind::Service if is_tight(&self.config, catalog.types(), &job.spec) => return None,
                 Kind::Service => {
-                    let running = held.phase == super::machines::Phase::Seen(TaskState::Running);
+                    let running = held.phase == Phase::Seen(TaskState::Running);
                     // A start that is stopped early does not count as one to its user.
                     let settled = held
                         .began
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -118,7 +118,7 @@
     /// Commands do not seem to reach it.
     pub suspect: bool,
     pub releasing: bool,
-    /// Its replicas move elsewhere and it is to be returned.
+    /// Its replicas move elsewhere; nothing is started on it until they have gone.
     pub emptying: bool,
     /// It is to get a fresh token, so that what may still be under way to it is void.
     pub raise: bool,
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -120,8 +120,6 @@
 const HISTORY_BOOTS: f64 = 3.0;
 /// Arrivals kept at most.
 const HISTORY: usize = 512;
-/// Machines idle for this many times what it takes to replace them are closed.
-const IDLE_REPLACED: f64 = 1.0;
 /// Machines wanted at once at most: as many as one rental may ask for.
 const WANTS: usize = 50;
 /// Tasks of one job that a plan looks at.
@@ -399,8 +397,7 @@
                 continue;
             };
             // Another one would have to boot and to fetch what this one holds.
-            let replaced = catalog.boot_s(&machine.type_name) + machine.longest_fetch();
-            let patience = replaced * IDLE_REPLACED;
+            let patience = catalog.boot_s(&machine.type_name) + machine.longest_fetch();
             let spare = machine.trusted && machine.idle() && !bin.used;
             machine.emptying &= !bin.planned && !machine.idle();
             let closed = spare && now - machine.idle_since > patience;
