--- a/src/core/gather.rs
+++ b/src/core/gather.rs
@@ -45,7 +45,7 @@
         let machine = self.machines.get(bin.machine.as_ref()?)?;
         let live: Vec<(&(TaskId, Attempt), &Held)> =
             machine.on.iter().filter(|(_, held)| !held.exited()).collect();
-        if !machine.usable(now) || machine.emptying || live.is_empty() {
+        if !machine.usable(now) || live.is_empty() {
             return None;
         }
         let mut replicas = Vec::new();
@@ -94,7 +94,6 @@
             let suits = |bin: &Bin, machine: &Machine| {
                 machine.id != source.id
                     && machine.usable(now)
-                    && !machine.emptying
                     && (bin.planned || !machine.idle())
                     && machine.has_image(&job.spec.image)
                     && allowed(&job.spec, &machine.type_name, &machine.zone, machine.spot)
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -250,6 +250,12 @@
         self.emptying = false;
     }
 
+    /// Its former owner answers it no more, but may have done so until now.
+    pub fn former_let_go(&mut self, now: Time) {
+        self.former = None;
+        self.answered = self.answered.max(now);
+    }
+
     /// Everything that may be on it is known.
     pub fn settled(&self) -> bool {
         self.trusted || self.empty
--- a/src/core/news.rs
+++ b/src/core/news.rs
@@ -146,8 +146,7 @@
         for machine in self.machines.values_mut() {
             // It has seen the change of the map, and so answers the machine no more.
             if machine.former.as_ref() == Some(&former) && news.revision >= machine.gained {
-                machine.former = None;
-                machine.answered = machine.answered.max(io.now);
+                machine.former_let_go(io.now);
             }
         }
         for wish in news.wishes {
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -138,8 +138,7 @@
                 view.node(node).is_some_and(|n| n.record.incarnation != *incarnation)
             };
             if machine.former.as_ref().is_some_and(ended) {
-                machine.former = None;
-                machine.answered = machine.answered.max(now);
+                machine.former_let_go(now);
             }
         }
         self.expire_machines(view, now);
@@ -166,6 +165,7 @@
         let now = io.now;
         let owners = view.owners();
         let mine = |o: &part_map::Owner| o.is(&self.config.node, self.incarnation);
+        let sibling = |(node, _): &Process| *node != self.config.node;
         for (id, owner) in &owners.machines {
             let mine = mine(owner);
             match self.machines.get_mut(id) {
@@ -174,14 +174,13 @@
                     let former = machine.former.take().filter(|_| machine.mine);
                     machine.change_hands(owner.term, mine, now);
                     let former = owner.former.clone().or(former);
-                    machine.former = former.filter(|(node, _)| mine && *node != self.config.node);
+                    machine.former = former.filter(|former| mine && sibling(former));
                     machine.gained = view.map_revision();
                     self.changed = true;
                 }
                 None if mine => {
                     let mut machine = Machine::named(id.clone(), owner.term, now);
                     machine.mine = true;
-                    let sibling = |(node, _): &Process| *node != self.config.node;
                     machine.former = owner.former.clone().filter(sibling);
                     machine.gained = view.map_revision();
                     self.machines.insert(id.clone(), machine);
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -147,7 +147,7 @@
         types: &[MachineType],
         now: Time,
     ) -> BTreeMap<Image, (Rc<JobSpec>, u32)> {
-        let boot = types.iter().map(|t| t.boot_s).fold(1.0, f64::max);
+        let boot = longest_boot(types);
         let mut images: BTreeMap<Image, (Rc<JobSpec>, u32)> = BTreeMap::new();
         for (at, spec) in self.arrivals.iter().rev() {
             if is_tight(config, types, spec) {
@@ -380,7 +380,7 @@
             let (spec, zones) = (job.spec.clone(), job.zones.clone());
             demand.push(Wanted { spec, count, zones, waits: true });
         }
-        let boot = types.iter().map(|t| t.boot_s).fold(1.0, f64::max);
+        let boot = longest_boot(types);
         for spec in self.forecast.expected(&self.config, boot, now) {
             let (count, zones) = (spec.tasks, BTreeMap::new());
             demand.push(Wanted { spec, count, zones, waits: false });
@@ -424,6 +424,10 @@
     }
 }
 
+fn longest_boot(types: &[MachineType]) -> Time {
+    types.iter().map(|t| t.boot_s).fold(1.0, f64::max)
+}
+
 /// Whether a replica's start is in time only where its image is already.
 pub fn is_tight(config: &Config, types: &[MachineType], spec: &JobSpec) -> bool {
     let rate = types.iter().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
