--- a/src/core/news.rs
+++ b/src/core/news.rs
@@ -19,6 +19,9 @@
     /// The sender's view of the state service was this far: it has seen every change of the map
     /// up to here, and starts nothing that those took from it.
     pub revision: Version,
+    /// Whose tasks the facts tell of: the receiver's teams as the sender knows the map. If that has
+    /// seen a team go elsewhere before the receiver did, its silence about that team says nothing.
+    pub teams: BTreeSet<Team>,
     /// The sender wants to know of all the receiver's machines.
     pub listening: bool,
     /// The sender's machines that have shown this term's token, or are known empty.
@@ -98,6 +101,7 @@
         }
         News {
             revision: view.revision(),
+            teams: theirs.into_iter().cloned().collect(),
             listening: self.listening(),
             settled,
             facts,
@@ -158,7 +162,8 @@
             let current = |o: &super::part_map::Owner| o.is(from, incarnation) && o.term == term;
             // What a former owner says, or says of an earlier term, does not count.
             if view.owners().machines.get(&id).is_some_and(current) {
-                self.take_fact(io, view, &id, term, news.revision, facts.remove(&id));
+                let fact = facts.remove(&id);
+                self.take_fact(io, view, &id, term, (news.revision, &news.teams), fact);
             }
         }
     }
@@ -170,12 +175,12 @@
         view: &View,
         id: &MachineId,
         term: Term,
-        revision: Version,
+        (revision, covers): (Version, &BTreeSet<Team>),
         fact: Option<Fact>,
     ) {
         let now = io.now;
         if fact.is_none() && !self.machines.contains_key(id) {
-            return self.settled_elsewhere(id, revision);
+            return self.settled_elsewhere(id, revision, covers);
         }
         let machine = self
             .machines
@@ -197,6 +202,9 @@
         let Some(machine) = self.machines.get(id) else { return };
         let teams = &self.teams;
         let told = |team: &Option<Team>| {
+            if team.as_ref().is_some_and(|team| !covers.contains(team)) {
+                return false;
+            }
             let gained = team.as_ref().and_then(|team| teams.get(team)).map(|team| team.gained);
             gained.is_none_or(|gained| revision >= gained)
         };
@@ -214,12 +222,12 @@
         if self.machines.get(id).is_some_and(|m| !m.mine && m.on.is_empty()) {
             self.machines.remove(id);
         }
-        self.settled_elsewhere(id, revision);
+        self.settled_elsewhere(id, revision, covers);
     }
 
-    fn settled_elsewhere(&mut self, id: &MachineId, revision: Version) {
-        for team in self.teams.values_mut() {
-            if revision >= team.gained {
+    fn settled_elsewhere(&mut self, id: &MachineId, revision: Version, covers: &BTreeSet<Team>) {
+        for (name, team) in &mut self.teams {
+            if revision >= team.gained && covers.contains(name) {
                 team.unsettled.remove(id);
             }
         }
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -617,6 +617,44 @@
         assert_eq!(news(&share, &view), (1, 1));
     }
 
+    /// A sibling that has read of the team's next owner before this one did leaves it out.
+    #[test]
+    fn silence_about_a_team_that_the_sender_gives_to_another_says_nothing() {
+        let (mut share, mut io, mut view) = share();
+        let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
+        let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
+        map(&mut view, 5, vec![mine, other]);
+        share.follow_map(&mut io, &view);
+        let id = MachineId::from("m-1");
+        let mut machine = Machine::named(id.clone(), Term(9), 0.0);
+        let mut held = Held::new(0.0);
+        held.team = Some("red".into());
+        let task = TaskId { job: "req-000001".into(), index: 0 };
+        machine.on.insert((task, Attempt(1)), held);
+        share.machines.insert(id.clone(), machine);
+        let news = |teams: &[&str]| super::super::news::News {
+            revision: 7,
+            teams: teams.iter().map(|team| Team::from(*team)).collect(),
+            listening: false,
+            settled: vec![(id.clone(), Term(9))],
+            facts: vec![],
+            wishes: vec![],
+            need: Need::default(),
+            refused: None,
+            images: Hints::new(),
+        };
+        share.take_news(&mut io, &view, &"n1".into(), 1, news(&[]));
+        assert!(
+            share.machines.contains_key(&id)
+                && !share.teams[&Team::from("red")].unsettled.is_empty()
+        );
+        share.take_news(&mut io, &view, &"n1".into(), 1, news(&["red"]));
+        assert!(
+            !share.machines.contains_key(&id)
+                && share.teams[&Team::from("red")].unsettled.is_empty()
+        );
+    }
+
     /// A leader that gives itself a team has written the map before it has read the jobs that the
     /// team's former owner read, and perhaps started, before that.
     #[test]
