The lease of a silent machine is counted on through a hand-over

An owner now says of a machine that it has not heard for half a lease that it answers it no more under its term; the map names that term as the one before, so the heir counts from the last answer (core/quiet.rs). Also: one term for all that a process gains in one turn, which keeps the map small; transactions of the map stay within half of the limit on bodies (16 values of 8 KiB would have been refused for ever). Found on the way: a machine called silent again right after its fresh token, never answered; mended, tested.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -6,16 +6,21 @@
 use super::io::{Io, Pending};
 use super::part_map::{Owner, PartMap};
 use super::peers::Peers;
+use super::quiet::Quiet;
 use super::rebalance::CloudDesk;
 use super::supply::{Catalog, Need, Offer};
 use super::view::{LEADER_KEY, View, guard, node_key, put};
 use super::{StateCall, StateReply, Time};
 use crate::config::Config;
-use crate::ids::{MachineId, Node, Team, Version};
-use crate::wire::{Report, Transaction, Write};
+use crate::ids::{MachineId, Node, Team, Term, Version};
+use crate::wire::{BODY_LIMIT, Report, Transaction, Write};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+/// Bytes of values that one transaction carries, once reached: with the last value and the guards
+/// it stays within the limit on bodies, past which it would be refused for ever.
+const VALUE_BYTES: usize = BODY_LIMIT / 2;
+
 #[derive(Debug)]
 pub struct MapWrite {
     term: Version,
@@ -30,6 +35,8 @@
     /// The stored versions that `map` continues. Guarding by the view's would be wrong: a write
     /// with unknown outcome may turn up there late, and the next would undo it.
     base: BTreeMap<String, Version>,
+    /// Terms of this turn's changes.
+    terms: BTreeMap<Process, Term>,
     writing: bool,
     next_write: Time,
     /// The map as stored may differ from ours: a write failed or its outcome is unknown.
@@ -53,6 +60,7 @@
             started: now,
             map,
             base: versions(view),
+            terms: BTreeMap::new(),
             writing: false,
             next_write: now,
             reread: false,
@@ -87,8 +95,10 @@
         authority: &mut Authority,
         peers: &Peers,
         catalog: &Catalog,
+        quiet: &Quiet,
     ) {
         let now = io.now;
+        self.terms.clear();
         let living: BTreeMap<Node, u64> =
             view.nodes().iter().map(|(node, n)| (node.clone(), n.record.incarnation)).collect();
         self.needs.retain(|node, _| living.contains_key(node));
@@ -104,7 +114,7 @@
             if all_here || !self.map.owners.teams.is_empty() || now > self.started + authority.ttl()
             {
                 let mut guards = Vec::new();
-                self.hand_on(view, authority, peers, &living, now, &mut guards);
+                self.hand_on(view, authority, peers, quiet, &living, now, &mut guards);
                 self.take_in(&living);
                 self.renumber(&living);
                 self.rebalance(&living, now);
@@ -114,14 +124,19 @@
         self.cloud_when_due(io, catalog, &living);
     }
 
-    fn owner(&mut self, node: &Node, incarnation: u64, former: Option<Process>) -> Option<Owner> {
-        // Out of terms: leadership has to be taken anew; until then nothing more changes.
-        let term = self.map.next_term()?;
-        Some(Owner { node: node.clone(), incarnation, term, former })
+    /// What a process gains in one turn it gains under one term, which keeps the map small.
+    fn owner(&mut self, node: &Node, incarnation: u64) -> Option<Owner> {
+        let process = (node.clone(), incarnation);
+        let term = match self.terms.get(&process) {
+            Some(term) => *term,
+            // Out of terms: leadership has to be taken anew; until then nothing more changes.
+            None => *self.terms.entry(process).or_insert(self.map.next_term()?),
+        };
+        Some(Owner { node: node.clone(), incarnation, term, former: None, prior: None })
     }
 
     pub(super) fn give_team(&mut self, team: &Team, to: &Node, incarnation: u64) {
-        if let Some(owner) = self.owner(to, incarnation, None) {
+        if let Some(owner) = self.owner(to, incarnation) {
             self.map.set_team(team, owner);
         }
     }
@@ -134,8 +149,8 @@
         incarnation: u64,
         former: Option<Process>,
     ) {
-        if let Some(owner) = self.owner(to, incarnation, former) {
-            self.map.set_machine(id, owner);
+        if let Some(owner) = self.owner(to, incarnation) {
+            self.map.set_machine(id, Owner { former, ..owner });
         }
     }
 
@@ -146,6 +161,7 @@
         view: &View,
         authority: &mut Authority,
         peers: &Peers,
+        quiet: &Quiet,
         living: &BTreeMap<Node, u64>,
         now: Time,
         guards: &mut Vec<crate::wire::Guard>,
@@ -190,14 +206,21 @@
             let machines = self.map.owners.machines.iter().filter(|(_, owner)| of(owner));
             // Whom it had a machine from, if that lives, may still have to let go of it.
             let lives = |former: &Process| living.get(&former.0) == Some(&former.1);
-            let machines: Vec<(MachineId, Option<Process>)> = machines
-                .map(|(id, owner)| (id.clone(), owner.former.clone().filter(lives)))
+            let machines: Vec<(MachineId, Option<Process>, Option<Term>)> = machines
+                .map(|(id, owner)| {
+                    // Nobody else answered a machine of which it said that it does so no more.
+                    let prior = quiet.answered(id, owner.term).map(|_| owner.term);
+                    let former = owner.former.clone().filter(|f| prior.is_none() && lives(f));
+                    (id.clone(), former, prior)
+                })
                 .collect();
             for team in teams {
                 self.give_team(&team, &heir, incarnation);
             }
-            for (id, former) in machines {
-                self.give_machine(&id, &heir, incarnation, former);
+            for (id, former, prior) in machines {
+                if let Some(owner) = self.owner(&heir, incarnation) {
+                    self.map.set_machine(&id, Owner { former, prior, ..owner });
+                }
             }
         }
     }
@@ -243,8 +266,9 @@
         let mut needs = std::mem::take(&mut self.needs);
         for (node, need) in &mut needs {
             let incarnation = living.get(node).copied().unwrap_or_default();
-            for id in std::mem::take(&mut need.raise) {
-                if self.map.owners.machines.get(&id).is_some_and(|o| o.is(node, incarnation)) {
+            for (id, token) in std::mem::take(&mut need.raise) {
+                let owner = self.map.owners.machines.get(&id);
+                if owner.is_some_and(|o| o.is(node, incarnation) && o.term == token) {
                     self.give_machine(&id, node, incarnation, None);
                 }
             }
@@ -258,7 +282,7 @@
     }
 
     fn write(&mut self, io: &mut Io, mut guards: Vec<crate::wire::Guard>) {
-        let values = self.map.take_dirty(self.config.deployment.state.txn_ops);
+        let values = self.map.take_dirty(self.config.deployment.state.txn_ops, VALUE_BYTES);
         if values.is_empty() {
             return;
         }
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -122,6 +122,10 @@
     pub emptying: bool,
     /// It is to get a fresh token, so that what may still be under way to it is void.
     pub raise: bool,
+    /// It was said to be silent under the present term, and is not answered until it has a new one.
+    pub quiet: bool,
+    /// Since when it could have reported under the present token.
+    pub awaited: Time,
     /// Jobs that failed on it.
     pub failed_jobs: BTreeSet<JobId>,
     /// Not to be used before this time.
@@ -172,6 +176,8 @@
             releasing: false,
             emptying: false,
             raise: false,
+            quiet: false,
+            awaited: now,
             failed_jobs: BTreeSet::new(),
             aside_until: 0.0,
             seen: now,
@@ -230,7 +236,6 @@
         self.over = self.session;
         self.trusted = false;
         self.empty = true;
-        self.raise = true;
     }
 
     /// It has a new owner or a new token. Its tasks keep running, and what was sent under the
@@ -246,6 +251,8 @@
         self.token = token;
         self.trusted = false;
         self.raise = false;
+        self.quiet = false;
+        self.awaited = now;
         self.releasing = false;
         self.emptying = false;
     }
@@ -303,6 +310,7 @@
             && !self.releasing
             && !self.emptying
             && !self.raise
+            && !self.quiet
             && self.leaves.is_none()
             && now >= self.aside_until
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod peers;
 pub mod placement;
 pub mod preempt;
+pub mod quiet;
 pub mod quota;
 pub mod ranges;
 pub mod rebalance;
@@ -194,6 +195,7 @@
     catalog: supply::Catalog,
     /// What siblings told of machines' images before there was a share.
     hints: owner::Hints,
+    quiet: quiet::Quiet,
 }
 
 impl Core {
@@ -211,6 +213,7 @@
             leader: None,
             catalog: supply::Catalog::default(),
             hints: owner::Hints::new(),
+            quiet: quiet::Quiet::default(),
             config,
         }
     }
@@ -313,7 +316,7 @@
         self.take_roles();
         if self.authority.entitled(now) {
             if let Some(owner) = self.owner.as_mut() {
-                owner.advance(&mut self.io, &mut self.view, &self.catalog);
+                owner.advance(&mut self.io, &mut self.view, &self.catalog, &self.quiet);
                 owner.plan_when_due(&self.io, &self.catalog);
                 if !owner.has_machines() {
                     // Nobody to hear from: silence says nothing.
@@ -334,6 +337,7 @@
                     &mut self.authority,
                     &self.peers,
                     &self.catalog,
+                    &self.quiet,
                 );
             }
         }
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -8,6 +8,7 @@
 use super::machines::{Held, Machine, Phase};
 use super::part_map;
 use super::placement::{Room, Weights};
+use super::quiet::Quiet;
 use super::quota::Usage;
 use super::supply::{Catalog, Forecast, Need, Offer};
 use super::view::{JobRecord, View, guard, job_key, put};
@@ -62,6 +63,8 @@
     pub(super) listeners: BTreeSet<Node>,
     /// Something has come up that a sibling should hear of soon.
     pub(super) hurry: bool,
+    /// When a worker was last heard.
+    pub(super) heard: Time,
 }
 
 /// Images that each machine holds, as far as anybody knows. Only a hint: it decides what is quick,
@@ -115,12 +118,13 @@
             hints,
             listeners: BTreeSet::new(),
             hurry: false,
+            heard: Time::NEG_INFINITY,
         }
     }
 
-    pub fn advance(&mut self, io: &mut Io, view: &mut View, catalog: &Catalog) {
+    pub fn advance(&mut self, io: &mut Io, view: &mut View, catalog: &Catalog, quiet: &Quiet) {
         let now = io.now;
-        self.follow_map(io, view);
+        self.follow_map(io, view, quiet);
         for id in view.take_changed() {
             if let Some(stored) = view.job(&id) {
                 let (record, version) = (stored.record.clone(), stored.version);
@@ -141,6 +145,7 @@
                 machine.former_let_go(now);
             }
         }
+        self.declare_quiet(view, now);
         self.expire_machines(view, now);
         self.settle_when_known(view);
         self.record_progress(io);
@@ -158,7 +163,7 @@
     // ---- the share ----
 
     /// Takes up what the map gives this process, and lets go of what it gives to others.
-    fn follow_map(&mut self, io: &mut Io, view: &View) {
+    fn follow_map(&mut self, io: &mut Io, view: &View, quiet: &Quiet) {
         if self.map_seen.replace(view.map_changes()) == Some(view.map_changes()) {
             return;
         }
@@ -168,18 +173,25 @@
         let sibling = |(node, _): &Process| *node != self.config.node;
         for (id, owner) in &owners.machines {
             let mine = mine(owner);
+            let answered = owner.prior.and_then(|prior| quiet.answered(id, prior));
             match self.machines.get_mut(id) {
                 Some(machine) if machine.mine != mine || machine.token != owner.term => {
                     // A fresh token says nothing of whether a former owner has let go.
                     let former = machine.former.take().filter(|_| machine.mine);
+                    let gained = mine && !machine.mine;
                     machine.change_hands(owner.term, mine, now);
+                    if let (true, Some(answered)) = (gained, answered) {
+                        machine.answered = answered;
+                        machine.awaited = answered;
+                    }
                     let former = owner.former.clone().or(former);
                     machine.former = former.filter(|former| mine && sibling(former));
                     machine.gained = view.map_revision();
                     self.changed = true;
                 }
                 None if mine => {
-                    let mut machine = Machine::named(id.clone(), owner.term, now);
+                    let answered = answered.unwrap_or(now);
+                    let mut machine = Machine::named(id.clone(), owner.term, answered);
                     machine.mine = true;
                     machine.former = owner.former.clone().filter(sibling);
                     machine.gained = view.map_revision();
@@ -541,6 +553,7 @@
 #[cfg(test)]
 mod tests {
     use super::super::part_map::{MapChunk, Owner as MapOwner, Share};
+    use super::super::quiet::Silence;
     use super::super::view::MAP_PREFIX;
     use super::*;
     use rand::SeedableRng;
@@ -568,7 +581,7 @@
     }
 
     fn owner(node: &str) -> MapOwner {
-        MapOwner { node: node.into(), incarnation: 1, term: Term(9), former: None }
+        MapOwner { node: node.into(), incarnation: 1, term: Term(9), former: None, prior: None }
     }
 
     /// Its owner may have changed without this process having read so; then somebody else answers
@@ -578,7 +591,7 @@
         let (mut share, mut io, mut view) = share();
         let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
         map(&mut view, 5, vec![mine]);
-        share.follow_map(&mut io, &view);
+        share.follow_map(&mut io, &view, &Quiet::default());
         view.current_as_of = 9.0;
         share.expire_machines(&view, 60.0);
         assert!(!share.machines[&MachineId::from("m-1")].empty);
@@ -587,6 +600,71 @@
         assert!(share.machines[&MachineId::from("m-1")].empty);
     }
 
+    /// Who has a silent machine next counts its lease from the last answer that its former owner
+    /// told of, if the map says that nobody else had it in between.
+    #[test]
+    fn the_lease_of_a_silent_machine_is_counted_on_through_a_hand_over() {
+        let (mut share, mut io, mut view) = share();
+        let mut quiet = Quiet::default();
+        let said = |id: &str| Silence { machine: id.into(), term: Term(8), age: 6.0 };
+        quiet.note([said("m-1"), said("m-2")], 20.0);
+        let known = MapOwner { prior: Some(Term(8)), ..owner("n0") };
+        let chain = Share { owner: known, teams: vec![], machines: vec!["m-1".into()] };
+        let other = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-2".into()] };
+        map(&mut view, 5, vec![chain, other]);
+        io.begin(21.0, 0);
+        share.follow_map(&mut io, &view, &quiet);
+        let answered = |share: &Owner, id: &str| share.machines[&MachineId::from(id)].answered;
+        assert!((14.0..14.1).contains(&answered(&share, "m-1")));
+        assert_eq!(answered(&share, "m-2"), 21.0);
+    }
+
+    /// What was said of its last answer has to stay true until it has a fresh token.
+    #[test]
+    fn a_machine_said_to_be_silent_is_not_answered_under_that_term() {
+        let (mut share, mut io, mut view) = share();
+        let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
+        map(&mut view, 5, vec![mine]);
+        share.follow_map(&mut io, &view, &Quiet::default());
+        let report = |seq| crate::wire::Report {
+            machine: "m-1".into(),
+            address: "a".into(),
+            type_name: "g".into(),
+            zone: "z".into(),
+            spot: false,
+            session: 1,
+            seq,
+            token: Term(9),
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        let checkin = |share: &mut Owner, io: &mut Io, now, seq| {
+            io.begin(now, 0);
+            let answer = share.checkin(io, &view, &Catalog::default(), report(seq));
+            answer.unwrap().status
+        };
+        assert_eq!(checkin(&mut share, &mut io, 1.0, 1), 200);
+        let lease = share.config.deployment.workers.lease_s;
+        let mut current = View::new(&share.config);
+        current.current_as_of = 1.0 + lease * 0.6;
+        share.declare_quiet(&current, 1.0 + lease * 0.6);
+        assert!(share.silences(lease).is_empty(), "hearing nobody says nothing of one");
+        share.heard = 1.0 + lease * 0.6;
+        share.declare_quiet(&current, 1.0 + lease * 0.6);
+        assert_eq!(share.silences(lease).len(), 1);
+        assert_eq!(checkin(&mut share, &mut io, 1.0 + lease * 0.7, 2), 503);
+        assert_eq!(share.need.raise, [("m-1".into(), Term(9))]);
+        // With a fresh token it is heard again, and has the time to be.
+        let fresh = MapOwner { term: Term(10), ..owner("n0") };
+        let mine = Share { owner: fresh, teams: vec![], machines: vec!["m-1".into()] };
+        map(&mut view, 6, vec![mine]);
+        io.begin(1.0 + lease * 0.8, 0);
+        share.follow_map(&mut io, &view, &Quiet::default());
+        share.declare_quiet(&current, 1.0 + lease * 0.8);
+        let machine = &share.machines[&MachineId::from("m-1")];
+        assert!(!machine.quiet && machine.token == Term(10));
+    }
+
     /// A leader owns a machine by its own write, before it has read the jobs that came before.
     #[test]
     fn a_machine_with_unknown_tasks_is_not_told_as_settled() {
@@ -594,7 +672,7 @@
         let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
         let other = Share { owner: owner("n1"), teams: vec!["red".into()], machines: vec![] };
         map(&mut view, 5, vec![mine, other]);
-        share.follow_map(&mut io, &view);
+        share.follow_map(&mut io, &view, &Quiet::default());
         share.listeners.insert("n1".into());
         let id = MachineId::from("m-1");
         share.machines.get_mut(&id).unwrap().trusted = true;
@@ -624,7 +702,7 @@
         let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
         let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
         map(&mut view, 5, vec![mine, other]);
-        share.follow_map(&mut io, &view);
+        share.follow_map(&mut io, &view, &Quiet::default());
         let id = MachineId::from("m-1");
         let mut machine = Machine::named(id.clone(), Term(9), 0.0);
         let mut held = Held::new(0.0);
@@ -663,7 +741,7 @@
         let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
         let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
         map(&mut view, 105, vec![mine, other]);
-        share.follow_map(&mut io, &view);
+        share.follow_map(&mut io, &view, &Quiet::default());
         let ids = ["req-000001", "req-000002", "req-000003"].map(JobId::from);
         for (id, version, done) in
             [(&ids[0], 100, false), (&ids[1], 107, true), (&ids[2], 108, false)]
--- a/src/core/part_map.rs
+++ b/src/core/part_map.rs
@@ -42,6 +42,9 @@
     /// The process it was taken from, if that was alive.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub former: Option<Process>,
+    /// The term directly before, if its owner had said that it answers the machine no more.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub prior: Option<Term>,
 }
 
 impl Owner {
@@ -76,7 +79,7 @@
     leader: Version,
     changes: u64,
     chunk_of: BTreeMap<MachineId, usize>,
-    sizes: Vec<usize>,
+    members: Vec<BTreeSet<MachineId>>,
     teams_dirty: bool,
     dirty: BTreeSet<usize>,
     capacity: usize,
@@ -96,20 +99,20 @@
         let owners = Owners::read(stored.values().map(|chunk| &chunk.record));
         // Every machine may have an owner's record to itself: up to 150 bytes.
         let capacity = ((kb * 1024.0 / 150.0) as usize).max(1);
-        let (mut chunk_of, mut sizes) = (BTreeMap::new(), Vec::new());
+        let (mut chunk_of, mut members) = (BTreeMap::new(), Vec::new());
         for (key, chunk) in stored {
             let prefix = format!("{MAP_PREFIX}m");
             let number = key.strip_prefix(&prefix).and_then(|n| n.parse::<usize>().ok());
             if let Some(number) = number {
-                sizes.resize(sizes.len().max(number + 1), 0);
+                members.resize_with(members.len().max(number + 1), BTreeSet::new);
                 for id in chunk.record.shares.iter().flat_map(|share| &share.machines) {
                     chunk_of.insert(id.clone(), number);
-                    sizes[number] += 1;
+                    members[number].insert(id.clone());
                 }
             }
         }
         let (teams_dirty, dirty) = (false, BTreeSet::new());
-        Self { owners, leader, changes: 0, chunk_of, sizes, teams_dirty, dirty, capacity }
+        Self { owners, leader, changes: 0, chunk_of, members, teams_dirty, dirty, capacity }
     }
 
     /// Takes up what is stored, and goes on counting.
@@ -133,10 +136,10 @@
         let chunk = match self.chunk_of.get(id) {
             Some(chunk) => *chunk,
             None => {
-                let open = self.sizes.iter().position(|size| *size < self.capacity);
-                let chunk = open.unwrap_or(self.sizes.len());
-                self.sizes.resize(self.sizes.len().max(chunk + 1), 0);
-                self.sizes[chunk] += 1;
+                let open = self.members.iter().position(|ids| ids.len() < self.capacity);
+                let chunk = open.unwrap_or(self.members.len());
+                self.members.resize_with(self.members.len().max(chunk + 1), BTreeSet::new);
+                self.members[chunk].insert(id.clone());
                 self.chunk_of.insert(id.clone(), chunk);
                 chunk
             }
@@ -148,14 +151,15 @@
     pub fn remove_machine(&mut self, id: &MachineId) {
         if let Some(chunk) = self.chunk_of.remove(id) {
             self.owners.machines.remove(id);
-            self.sizes[chunk] -= 1;
+            self.members[chunk].remove(id);
             self.dirty.insert(chunk);
         }
     }
 
-    /// Up to `limit` values that differ from what is stored.
-    pub fn take_dirty(&mut self, limit: usize) -> Vec<(String, MapChunk)> {
+    /// Values that differ from what is stored: up to `limit` of them, and about `bytes` in all.
+    pub fn take_dirty(&mut self, limit: usize, bytes: usize) -> Vec<(String, MapChunk)> {
         let mut values = Vec::new();
+        let mut size = 0;
         if std::mem::take(&mut self.teams_dirty) {
             let mut shares: BTreeMap<&Owner, Share> = BTreeMap::new();
             for (team, owner) in &self.owners.teams {
@@ -164,15 +168,18 @@
             values.push((teams_key(), MapChunk { shares: shares.into_values().collect() }));
         }
         while values.len() < limit
+            && size < bytes
             && let Some(chunk) = self.dirty.pop_first()
         {
             let mut shares: BTreeMap<&Owner, Share> = BTreeMap::new();
-            for (id, owner) in &self.owners.machines {
-                if self.chunk_of.get(id) == Some(&chunk) {
+            for id in &self.members[chunk] {
+                if let Some(owner) = self.owners.machines.get(id) {
                     share(&mut shares, owner).machines.push(id.clone());
                 }
             }
-            values.push((chunk_key(chunk), MapChunk { shares: shares.into_values().collect() }));
+            let value = MapChunk { shares: shares.into_values().collect() };
+            size += serde_json::to_string(&value).map_or(0, |text| text.len());
+            values.push((chunk_key(chunk), value));
         }
         values
     }
@@ -192,7 +199,7 @@
 
     fn owner(node: &str, term: u64) -> Owner {
         let former = Some(("drumhead-2".into(), 1 << 51));
-        Owner { node: node.into(), incarnation: 1 << 51, term: Term(term), former }
+        Owner { node: node.into(), incarnation: 1 << 51, term: Term(term), former, prior: None }
     }
 
     #[test]
@@ -204,17 +211,17 @@
         }
         map.set_team(&"a".into(), owner("drumhead-1", 7));
         let mut stored = BTreeMap::new();
-        for (key, record) in map.take_dirty(usize::MAX) {
+        for (key, record) in map.take_dirty(usize::MAX, usize::MAX) {
             assert!(serde_json::to_string(&record).unwrap().len() <= 4096);
             stored.insert(key, Versioned { version: 9, record });
         }
-        assert!(map.take_dirty(usize::MAX).is_empty(), "written only on change");
+        assert!(map.take_dirty(usize::MAX, usize::MAX).is_empty(), "written only on change");
         let mut next = PartMap::new(1 << 21, &stored, 4.0);
         assert_eq!(next.owners.machines, map.owners.machines);
         assert_eq!(next.owners.teams, map.owners.teams);
         let highest = map.owners.machines.values().map(|o| o.term).max().unwrap();
         assert!(next.next_term().unwrap() > highest, "terms rise with every leader");
         next.remove_machine(&"m-000000".into());
-        assert_eq!(next.take_dirty(9).len(), 1, "only the chunk that changed");
+        assert_eq!(next.take_dirty(9, usize::MAX).len(), 1, "only the chunk that changed");
     }
 }
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -5,6 +5,7 @@
 use super::io::Pending;
 use super::news::News;
 use super::owner::{Hints, Owner};
+use super::quiet::Silence;
 use super::{Answer, Body, Core, RequestId, Time, UserRequest};
 use crate::config::Config;
 use crate::ids::{JobId, Node};
@@ -35,6 +36,8 @@
     pub wants_consent: Vec<Process>,
     /// Tasks done and running, of jobs that run in the sender's share.
     pub running: Vec<(JobId, u32, u32)>,
+    /// Machines that are known not to be answered any more under these terms.
+    pub quiet: Vec<Silence>,
     /// What the sender's share has to tell the receiver's.
     pub news: Option<News>,
 }
@@ -166,6 +169,13 @@
         let running = owner.map(Owner::running).unwrap_or_default();
         let (wants_voucher, wants_consent) =
             (self.authority.wants_voucher(now).is_some(), self.authority.wanted_consents());
+        if let Some(owner) = &self.owner {
+            self.quiet.note(owner.silences(now), now);
+        }
+        if self.view.complete() {
+            self.quiet.prune(self.view.owners());
+        }
+        let quiet = self.quiet.all(now);
         let nodes: Vec<Node> = self.peers.peers.keys().cloned().collect();
         for node in nodes {
             let Some(peer) = self.peers.peers.get_mut(&node) else { continue };
@@ -188,6 +198,7 @@
                 wants_voucher,
                 wants_consent: wants_consent.clone(),
                 running: running.clone(),
+                quiet: quiet.clone(),
                 news,
             };
             let pending = Pending::Hello { node: node.clone(), sent: now };
@@ -212,7 +223,9 @@
 
     fn hello(&mut self, request: RequestId, hello: Hello) {
         let now = self.io.now;
-        let Hello { from, incarnation, wants_consent, .. } = hello;
+        let Hello { from, incarnation, wants_consent, quiet, .. } = hello;
+        // True whenever it was said: that it arrives late only makes it weaker.
+        self.quiet.note(quiet, now);
         let Some(peer) = self.peers.peers.get_mut(&from) else {
             return self.io.mesh_answer(request, MeshReply::Noted);
         };
--- /dev/null
+++ b/src/core/quiet.rs
@@ -0,0 +1,89 @@
+//! What is known of machines that their owners do not hear.
+//!
+//! An owner that has not heard a machine for half a lease says so, and from then on does not answer
+//! it under the present term any more: should it report again, it first gets a fresh token. So the
+//! time of its last answer is settled for good, and whoever has the machine next can count the
+//! lease from there instead of from the hand-over. The map names the term that came directly
+//! before (`prior`), if its owner was known to have said this under it; only then does it count.
+
+use super::Time;
+use super::authority::DRIFT;
+use super::part_map::Owners;
+use crate::ids::{MachineId, Term};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A machine that is not answered under this term any more.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Silence {
+    pub machine: MachineId,
+    pub term: Term,
+    /// Seconds since its last answer, when this was sent.
+    pub age: Time,
+}
+
+#[derive(Default)]
+pub struct Quiet(BTreeMap<MachineId, (Term, Time)>);
+
+impl Quiet {
+    /// Takes up what was said, here or elsewhere. Messages take time, so of several words on one
+    /// term the one that puts the last answer earliest is nearest to the truth.
+    pub fn note(&mut self, said: impl IntoIterator<Item = Silence>, now: Time) {
+        for Silence { machine, term, age } in said {
+            let answered = now - age * (1.0 - DRIFT);
+            let known = self.0.entry(machine).or_insert((term, answered));
+            if term > known.0 || (term == known.0 && answered < known.1) {
+                *known = (term, answered);
+            }
+        }
+    }
+
+    /// Drops what the map has overtaken.
+    pub fn prune(&mut self, owners: &Owners) {
+        self.0.retain(|machine, (term, _)| {
+            let owner = owners.machines.get(machine);
+            owner.is_some_and(|owner| owner.term <= *term || owner.prior == Some(*term))
+        });
+    }
+
+    pub fn all(&self, now: Time) -> Vec<Silence> {
+        let said = self.0.iter();
+        said.map(|(id, (term, answered))| Silence {
+            machine: id.clone(),
+            term: *term,
+            age: now - answered,
+        })
+        .collect()
+    }
+
+    /// When the machine was last answered, if it is not answered under this term any more.
+    pub fn answered(&self, machine: &MachineId, term: Term) -> Option<Time> {
+        self.0.get(machine).filter(|(of, _)| *of == term).map(|(_, answered)| *answered)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_term_it_was_said_of_counts() {
+        let said = |term, age| [Silence { machine: "m-1".into(), term: Term(term), age }];
+        let mut quiet = Quiet::default();
+        let id = MachineId::from("m-1");
+        quiet.note(said(5, 8.0), 20.0);
+        let at = quiet.answered(&id, Term(5)).unwrap();
+        assert!((12.0..12.1).contains(&at), "clocks differ: later rather than earlier");
+        assert_eq!(quiet.answered(&id, Term(4)), None);
+        quiet.note(said(4, 30.0), 21.0);
+        quiet.note(said(5, 2.0), 21.0);
+        assert_eq!(
+            quiet.answered(&id, Term(5)),
+            Some(at),
+            "older terms and later words add nothing"
+        );
+        quiet.note(said(6, 8.0), 40.0);
+        assert_eq!(quiet.answered(&id, Term(5)), None);
+        assert!(quiet.answered(&id, Term(6)).is_some());
+    }
+}
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -13,7 +13,7 @@
 use super::view::{LEADER_KEY, TYPES_KEY, guard, put};
 use super::{CloudCall, CloudReply, Core, StateCall, Time};
 use crate::config::Config;
-use crate::ids::{Image, MachineId, Team, TypeName, Zone};
+use crate::ids::{Image, MachineId, Team, Term, TypeName, Zone};
 use crate::wire::{JobSpec, Kind, MachineType, MachineTypes, Priority, Transaction};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -107,13 +107,22 @@
     pub quiet: Vec<Team>,
     /// Machines that have not been heard of for long.
     pub silent: Vec<MachineId>,
-    /// Machines that are to get a fresh token.
-    pub raise: Vec<MachineId>,
+    /// Machines that are to get a fresh token in place of this one.
+    pub raise: Vec<(MachineId, Term)>,
     /// Teams that are to get a fresh term.
     pub worn: Vec<Team>,
 }
 
 impl Need {
+    /// Asks for a fresh token; whether that is news.
+    pub fn raise(&mut self, id: &MachineId, token: Term) -> bool {
+        let news = !self.raise.iter().any(|(other, of)| other == id && *of == token);
+        if news {
+            self.raise.push((id.clone(), token));
+        }
+        news
+    }
+
     fn wanted(&self) -> u32 {
         self.wants.iter().map(|want| want.count).sum()
     }
@@ -292,7 +301,7 @@
             if now > machine.seen.max(machine.answered) + lease * SILENT_LEASES + lag {
                 need.silent.push(machine.id.clone());
             } else if machine.raise && !machine.address.is_empty() {
-                need.raise.push(machine.id.clone());
+                need.raise.push((machine.id.clone(), machine.token));
             }
         }
         need.worn = self.worn_teams();
@@ -377,6 +386,7 @@
             let leaving = machine.leaves.is_some() || now < machine.aside_until;
             machine.mine
                 && !leaving
+                && !machine.quiet
                 && now <= machine.answered + lease
                 && !machine.address.is_empty()
         });
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -10,6 +10,7 @@
 use super::machines::{Freshness, Held, Phase};
 use super::owner::{Owner, describe};
 use super::placement::Room;
+use super::quiet::Silence;
 use super::supply::Catalog;
 use super::view::View;
 use super::{Answer, Body, Time, WorkerReply};
@@ -19,6 +20,8 @@
 
 /// Reports that may fail to show a task whose start was in their answers.
 const PATIENCE: u32 = 3;
+/// Part of a lease after which a machine that is not heard is said to be silent.
+const QUIET_LEASE: f64 = 0.5;
 /// Leases for which a machine that fails every job is set aside.
 const ASIDE_LEASES: f64 = 20.0;
 
@@ -54,7 +57,14 @@
                 self.take_report(io, view, report, new_session, true);
             }
         }
+        self.heard = now;
         let machine = self.machines.get_mut(&id)?;
+        if machine.quiet {
+            // Its last answer has been told to be the last under this term.
+            machine.raise = true;
+            self.hurry |= self.need.raise(&id, machine.token);
+            return Some(Answer::unavailable());
+        }
         machine.answered = now;
         machine.empty = false;
         // Until the machine has shown its token it gets that and no commands.
@@ -299,6 +309,35 @@
         }
     }
 
+    /// Machines that have not been heard for long are not answered any more under their present
+    /// terms, so that their next owners need not wait as long as if they had been until the end.
+    /// Not while this process hears nobody, for then the trouble is its own, nor while it could not
+    /// get them fresh tokens.
+    pub(super) fn declare_quiet(&mut self, view: &View, now: Time) {
+        let workers = &self.config.deployment.workers;
+        if now > self.heard + workers.report_s || now > view.current_as_of + workers.report_s {
+            return;
+        }
+        let silence = workers.lease_s * QUIET_LEASE;
+        for machine in self.machines.values_mut() {
+            let since = machine.answered.max(machine.awaited);
+            let silent = now > since + silence && machine.former.is_none();
+            machine.quiet |= machine.mine && silent;
+        }
+    }
+
+    /// What siblings are to know of machines that are not answered any more.
+    pub(super) fn silences(&self, now: Time) -> Vec<Silence> {
+        let quiet = self.machines.values().filter(|machine| machine.mine && machine.quiet);
+        quiet
+            .map(|machine| Silence {
+                machine: machine.id.clone(),
+                term: machine.token,
+                age: now - machine.answered,
+            })
+            .collect()
+    }
+
     /// Machines whose lease must have run out are empty: nobody else was entitled to answer them
     /// until then, which only a map read after that can tell. A process that lives on vouchers, or
     /// whose reads are slow, may otherwise take a machine for silent that has moved to a sibling.
