--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -14,6 +14,8 @@
 const POLL_WAIT: Time = 0.9;
 /// Users wait 5 s for an answer to a submission or cancellation.
 const WRITE_WAIT: Time = 1.5;
+/// The state service answers within a few hundred ms; asked all the time, it is silent when cut off.
+const SILENCE: Time = POLL_WAIT / 3.0;
 /// How long a write that the state service put off for its rate is tried again.
 const BUSY_WAIT: Time = 0.6;
 
@@ -69,6 +71,11 @@
         if !self.view.complete() || self.desk.waiting.len() as f64 > limit {
             return self.give_up(asked);
         }
+        let silent = self.view.state_silence(now) > SILENCE;
+        if silent && matches!(reply_to, ReplyTo::User(_)) && self.peers.with_state(now).is_some() {
+            // Cut from the state service alone: a sibling answers at once what would be late here.
+            return self.pass_on(asked);
+        }
         if let UserRequest::Submit(id, spec) = &asked.what
             && self.view.job(id).is_none()
         {
@@ -209,10 +216,15 @@
     /// This controller cannot answer: a sibling that has the state service may; else the user
     /// is told at once when to come back.
     fn give_up(&mut self, asked: Asked) {
+        if self.has_state() {
+            return self.reply(asked.reply_to, Answer::unavailable());
+        }
+        self.pass_on(asked);
+    }
+
+    fn pass_on(&mut self, asked: Asked) {
         let sibling = self.peers.with_state(self.io.now).cloned();
-        let (ReplyTo::User(request), Some(node), false) =
-            (asked.reply_to, sibling, self.has_state())
-        else {
+        let (ReplyTo::User(request), Some(node)) = (asked.reply_to, sibling) else {
             return self.reply(asked.reply_to, Answer::unavailable());
         };
         let message = match &asked.what {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -13,7 +13,7 @@
 use super::{StateCall, StateReply, Time};
 use crate::config::Config;
 use crate::ids::{MachineId, Node, Team, Term, Version};
-use crate::wire::{BODY_LIMIT, Report, Transaction, Write};
+use crate::wire::{BODY_LIMIT, Guard, Report, Transaction, Write};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -113,8 +113,7 @@
             let all_here = living.len() >= self.config.controllers();
             if all_here || !self.map.owners.teams.is_empty() || now > self.started + authority.ttl()
             {
-                let mut guards = Vec::new();
-                self.hand_on(view, authority, peers, quiet, &living, now, &mut guards);
+                let guards = self.hand_on(view, authority, peers, quiet, &living, now);
                 self.take_in(&living);
                 self.renumber(&living);
                 self.rebalance(&living, now);
@@ -164,8 +163,8 @@
         quiet: &Quiet,
         living: &BTreeMap<Node, u64>,
         now: Time,
-        guards: &mut Vec<crate::wire::Guard>,
-    ) {
+    ) -> Vec<Guard> {
+        let mut guards = Vec::new();
         let unowned: Vec<Team> = self
             .config
             .deployment
@@ -223,6 +222,7 @@
                 }
             }
         }
+        guards
     }
 
     pub(super) fn teams_of(&self, node: &Node) -> usize {
@@ -281,7 +281,7 @@
         self.needs = needs;
     }
 
-    fn write(&mut self, io: &mut Io, mut guards: Vec<crate::wire::Guard>) {
+    fn write(&mut self, io: &mut Io, mut guards: Vec<Guard>) {
         let values = self.map.take_dirty(self.config.deployment.state.txn_ops, VALUE_BYTES);
         if values.is_empty() {
             return;
