--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -291,6 +291,17 @@
         free
     }
 
+    pub fn running_by_priority(&self) -> BTreeMap<Priority, Room> {
+        let mut running: BTreeMap<Priority, Room> = BTreeMap::new();
+        for held in self.on.values().filter(|held| !held.exited() && held.stop.is_none()) {
+            if let Some(room) = &held.room {
+                let sum = running.entry(held.priority).or_default();
+                *sum = sum.plus(room);
+            }
+        }
+        running
+    }
+
     /// GPUs that are free or taken by work of normal and low priority.
     pub fn room_beside_urgent(&self) -> f64 {
         let urgent = |held: &&Held| !held.exited() && held.priority > Priority::Normal;
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -8,7 +8,7 @@
 use super::placement::Room;
 use super::quota::Usage;
 use super::schedule::{Slot, allowed, limits};
-use crate::ids::{Attempt, JobId, MachineId, TaskId, Zone};
+use crate::ids::{Attempt, JobId, MachineId, TaskId, Team, Zone};
 use crate::wire::Kind;
 use std::collections::BTreeMap;
 
@@ -50,20 +50,23 @@
     let need = job.need();
     let guaranteed = limits(&share.config, &job.spec)
         .is_some_and(|limits| usage.guaranteed(limits, need.cpus, need.gpus));
+    let beyond: Vec<&Team> = share
+        .config
+        .deployment
+        .teams
+        .iter()
+        .filter(|theirs| guaranteed && theirs.name != job.spec.team)
+        .filter(|theirs| !usage.guaranteed(theirs, 0.0, 0.0))
+        .filter(|theirs| theirs.gpus > 0.0 || theirs.cpus > 0.0)
+        .map(|theirs| &theirs.name)
+        .collect();
     let yields = |task: &TaskId, held: &Held| -> bool {
         if held.exited() || held.stop.is_some() || task.job == *id {
             return false;
         }
-        if held.priority < job.spec.priority {
-            return true;
-        }
-        let Some(other) = share.jobs.get(&task.job) else { return false };
-        let Some(theirs) = limits(&share.config, &other.spec) else { return false };
-        guaranteed
-            && other.spec.team != job.spec.team
-            && !usage.guaranteed(theirs, 0.0, 0.0)
-            && (theirs.gpus > 0.0 || theirs.cpus > 0.0)
-            && other.spec.kind != Kind::Service
+        held.priority < job.spec.priority
+            || (held.team.as_ref().is_some_and(|team| beyond.contains(&team))
+                && share.jobs.get(&task.job).is_some_and(|o| o.spec.kind != Kind::Service))
     };
     let mut stops = Vec::new();
     let mut in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
@@ -77,6 +80,14 @@
             {
                 continue;
             }
+            // Most machines have nothing to give, which is seen without looking at their tasks.
+            let at_most = slot
+                .running
+                .iter()
+                .filter(|(priority, _)| **priority < job.spec.priority || !beyond.is_empty());
+            if !at_most.fold(slot.later, |later, (_, room)| later.plus(room)).holds(&need) {
+                continue;
+            }
             let Some(machine) = share.machines.get(&slot.id) else { continue };
             if let Some((cost, victims)) = cheapest(share, machine, slot.later, &need, &yields, now)
                 && best.as_ref().is_none_or(|(least, _, _)| cost < *least)
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -8,7 +8,7 @@
 use super::supply::Catalog;
 use crate::config::{Config, TeamLimits};
 use crate::ids::{Image, JobId, MachineId, TypeName, Zone};
-use crate::wire::{JobSpec, Kind};
+use crate::wire::{JobSpec, Kind, Priority};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine during a round, with what the round has taken off it already.
@@ -21,6 +21,8 @@
     pub free: Room,
     /// Free once everything that was told to stop has gone.
     pub later: Room,
+    /// What runs and was not told to stop takes, by priority.
+    pub running: BTreeMap<Priority, Room>,
     /// Kept for a job that needs it whole.
     pub reserved: bool,
     /// Room held back for starts that are in time only here, by image.
@@ -48,7 +50,7 @@
 /// Where a job stands in the queue: smaller is sooner.
 #[derive(PartialEq)]
 struct Rank {
-    priority: std::cmp::Reverse<crate::wire::Priority>,
+    priority: std::cmp::Reverse<Priority>,
     beyond_guarantee: bool,
     due: Time,
 }
@@ -88,6 +90,7 @@
                 total: m.total,
                 free: m.free(),
                 later: m.free_after_stops(),
+                running: m.running_by_priority(),
                 reserved: false,
                 warm: Vec::new(),
             })
@@ -265,6 +268,7 @@
             .enumerate()
             .filter(|(_, slot)| {
                 !slot.reserved
+                    && slot.free.holds(&need)
                     && (slot.spot || !spot_only)
                     && zone.is_none_or(|zone| slot.zone == *zone)
                     && allowed(spec, &slot.type_name, &slot.zone, slot.spot)
