What would queue for a fetch waits for machines that are about to report

Such starts now wait for two report times at most. The test of work that grows with what changes now compares 275 and 1100 machines.

--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -360,6 +360,11 @@
         }
     }
 
+    /// Seconds for a fetch that has the rate to itself.
+    pub fn fetch_s(&self, gb: f64) -> Time {
+        gb / self.fetch_rate * FETCH_SLOWNESS
+    }
+
     /// Seconds until a task that needs this image could run here.
     pub fn ready_in(&self, image: &Image, gb: f64, now: Time) -> Time {
         if self.has_image(image) || gb <= 0.0 {
@@ -368,7 +373,7 @@
         if self.fetch_rate <= 0.0 {
             return Time::INFINITY;
         }
-        let alone = gb / self.fetch_rate * FETCH_SLOWNESS;
+        let alone = self.fetch_s(gb);
         let mut fetching: BTreeMap<&Image, Time> = BTreeMap::new();
         for held in self.on.values().filter(|h| !h.exited() && !h.has_image()) {
             if let Some((other, _)) = &held.image {
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -619,6 +619,30 @@
         assert_eq!(answered(&share, "m-2"), 21.0);
     }
 
+    /// In the first seconds of a share one machine got the replicas of four images, which shared
+    /// its fetch rate, while hundreds were about to report.
+    #[test]
+    fn what_would_queue_for_a_fetch_waits_for_machines_about_to_report() {
+        let (mut share, mut io, mut view) = share();
+        let machines = vec!["m-1".into(), "m-2".into()];
+        map(&mut view, 5, vec![Share { owner: owner("n0"), teams: vec!["red".into()], machines }]);
+        share.follow_map(&mut io, &view, &Quiet::default());
+        let first = share.machines.get_mut(&MachineId::from("m-1")).unwrap();
+        first.trusted = true;
+        first.total = Room { cpus: 32.0, gpus: 8.0, memory_gb: 100.0 };
+        first.fetch_rate = 1.0;
+        for (id, image) in [("req-000001", "a"), ("req-000002", "b")] {
+            let mut record = record(false);
+            Rc::make_mut(record.spec.as_mut().unwrap()).image = image.into();
+            share.take_job(&id.into(), &Rc::new(record), 9, (0.0, 0));
+        }
+        let started = |share: &Owner| share.machines[&MachineId::from("m-1")].on.len();
+        share.schedule(&Catalog::default(), 0.1);
+        assert_eq!(started(&share), 2, "both replicas of one image, none of the other");
+        share.schedule(&Catalog::default(), 60.0);
+        assert_eq!(started(&share), 4, "not for ever");
+    }
+
     /// What was said of its last answer has to stay true until it has a fresh token.
     #[test]
     fn a_machine_said_to_be_silent_is_not_answered_under_that_term() {
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -2,6 +2,7 @@
 
 use super::Time;
 use super::jobs::Job;
+use super::machines::Machine;
 use super::owner::Owner;
 use super::placement::{Candidate, Late, Room, best_fit};
 use super::preempt;
@@ -128,6 +129,7 @@
     pub(super) fn schedule(&mut self, catalog: &Catalog, now: Time) {
         let mut slots = self.slots(now);
         self.hold_warm(&mut slots, catalog, now);
+        let expecting = self.expects_machines(now);
         let mut usage = self.usage();
         let mut starts = 0;
         for id in self.queue(now) {
@@ -159,6 +161,13 @@
                 chosen = self.choose(job, wanted.len(), &slots, now, whole, false);
             }
             let missing = wanted.len() - chosen.len();
+            if expecting {
+                // Machines that are about to report take what would queue for another's fetch here.
+                chosen.retain(|slot| !self.queues_up(&slots[*slot].id, &spec, now));
+                if whole && chosen.len() < wanted.len() {
+                    chosen.clear();
+                }
+            }
             if !chosen.is_empty() {
                 let Some(attempt) = self.next_attempt(&limits.name) else { continue };
                 for (index, slot) in wanted.iter().zip(&chosen) {
@@ -308,6 +317,20 @@
         chosen
     }
 
+    /// Whether machines of this share are likely to report for the first time before long.
+    fn expects_machines(&self, now: Time) -> bool {
+        let patience = self.config.deployment.workers.report_s * 2.0;
+        let about_to = |m: &Machine| m.mine && !m.settled() && now < m.awaited + patience;
+        self.machines.values().any(about_to)
+    }
+
+    /// Whether the image would have to share the machine's fetch rate.
+    fn queues_up(&self, id: &MachineId, spec: &JobSpec, now: Time) -> bool {
+        self.machines.get(id).is_some_and(|machine| {
+            machine.ready_in(&spec.image, spec.image_gb, now) > machine.fetch_s(spec.image_gb) * 1.1
+        })
+    }
+
     pub(super) fn ready_in(&self, id: &MachineId, image: &Image, gb: f64, now: Time) -> Time {
         self.machines.get(id).map_or(Time::INFINITY, |m| m.ready_in(image, gb, now))
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -281,7 +281,7 @@
 /// tell one another grows with the fleet at most (the state of a share is told whole).
 #[test]
 fn work_grows_with_what_changes() {
-    let (small, large) = (cost_of_ten_tasks(60), cost_of_ten_tasks(240));
+    let (small, large) = (cost_of_ten_tasks(275), cost_of_ten_tasks(1100));
     println!("{small:?}\n{large:?}");
     assert!(small.state_requests > 0 && small.orders > 0 && small.mesh_bytes > 0);
     let grew = |what: fn(&world::Work) -> usize| what(&large) as f64 / what(&small) as f64;
