--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -320,9 +320,11 @@
         }
         view.want_sync();
         if !matches!(reply, StateReply::Committed(_)) {
-            // Not knowing what is stored, start again from what the next sync shows.
+            // Not knowing what is stored, start again from what the next sync shows. A conflict has
+            // changed nothing, and machines whose leases run out may be waiting.
             self.reread = true;
-            self.next_write = io.now + io.jitter(12.0 / self.config.deployment.state.write_rps);
+            let pause = if reply == StateReply::Conflict { 3.0 } else { 12.0 };
+            self.next_write = io.now + io.jitter(pause / self.config.deployment.state.write_rps);
         }
     }
 }
