Simplify: rooms by priority without a map, orders pushed at once, one countdown in the runner

Read again: what runs by priority is an array, made for every machine in every round; rental orders went through a list of their own; the runner counted writes of the map in two places. Words about silent machines are now taken after the check that the sender is a sibling, as the rest of a hello is. Nothing else behaves differently.

--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -291,11 +291,12 @@
         free
     }
 
-    pub fn running_by_priority(&self) -> BTreeMap<Priority, Room> {
-        let mut running: BTreeMap<Priority, Room> = BTreeMap::new();
+    /// What runs and was not told to stop takes, by priority.
+    pub fn running_by_priority(&self) -> [Room; Priority::COUNT] {
+        let mut running = [Room::default(); Priority::COUNT];
         for held in self.on.values().filter(|held| !held.exited() && held.stop.is_none()) {
             if let Some(room) = &held.room {
-                let sum = running.entry(held.priority).or_default();
+                let sum = &mut running[held.priority as usize];
                 *sum = sum.plus(room);
             }
         }
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -224,11 +224,11 @@
     fn hello(&mut self, request: RequestId, hello: Hello) {
         let now = self.io.now;
         let Hello { from, incarnation, wants_consent, quiet, .. } = hello;
-        // True whenever it was said: that it arrives late only makes it weaker.
-        self.quiet.note(quiet, now);
         let Some(peer) = self.peers.peers.get_mut(&from) else {
             return self.io.mesh_answer(request, MeshReply::Noted);
         };
+        // True whenever it was said: that it arrives late only makes it weaker.
+        self.quiet.note(quiet, now);
         // Held up in the network, hellos arrive late: what they tell is then left out.
         let late = peer.newest.0 == incarnation && peer.newest.1 >= hello.number;
         let sends_workers = now - peer.sent_worker < self.peers.recent;
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -9,7 +9,7 @@
 use super::quota::Usage;
 use super::schedule::{Slot, allowed, limits};
 use crate::ids::{Attempt, JobId, MachineId, TaskId, Team, Zone};
-use crate::wire::Kind;
+use crate::wire::{Kind, Priority};
 use std::collections::BTreeMap;
 
 pub struct Stop {
@@ -81,11 +81,10 @@
                 continue;
             }
             // Most machines have nothing to give, which is seen without looking at their tasks.
-            let at_most = slot
-                .running
-                .iter()
-                .filter(|(priority, _)| **priority < job.spec.priority || !beyond.is_empty());
-            if !at_most.fold(slot.later, |later, (_, room)| later.plus(room)).holds(&need) {
+            let below =
+                if beyond.is_empty() { job.spec.priority as usize } else { Priority::COUNT };
+            let at_most = slot.running[..below].iter().fold(slot.later, |a, room| a.plus(room));
+            if !at_most.holds(&need) {
                 continue;
             }
             let Some(machine) = share.machines.get(&slot.id) else { continue };
--- a/src/core/rebalance.rs
+++ b/src/core/rebalance.rs
@@ -463,7 +463,6 @@
                 }
             }
         }
-        let mut orders = Vec::new();
         for ((type_name, zone, spot), counts) in lacks {
             // In turn, so that if the cloud has fewer nobody goes without.
             let most = counts.iter().map(|(_, count)| *count).max().unwrap_or(0);
@@ -474,9 +473,8 @@
                 let request = format!("r-{}-{}", self.term, self.desk.counter);
                 let (type_name, zone, count) = (type_name.clone(), zone.clone(), nodes.len());
                 let rental = Rental { request, type_name, zone, spot, count: count as u32 };
-                orders.push(RentOrder { rental, nodes: nodes.to_vec() });
+                self.desk.open.push(RentOrder { rental, nodes: nodes.to_vec() });
             }
         }
-        self.desk.open.extend(orders);
     }
 }
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -23,7 +23,7 @@
     /// Free once everything that was told to stop has gone.
     pub later: Room,
     /// What runs and was not told to stop takes, by priority.
-    pub running: BTreeMap<Priority, Room>,
+    pub running: [Room; Priority::COUNT],
     /// Kept for a job that needs it whole.
     pub reserved: bool,
     /// Room held back for starts that are in time only here, by image.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -53,6 +53,10 @@
     Production,
 }
 
+impl Priority {
+    pub const COUNT: usize = Self::Production as usize + 1;
+}
+
 /// What a user asked for. Stored as it is, so the short names keep records small.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct JobSpec {
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -98,7 +98,7 @@
     },
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MapFault {
     /// Its writer ends once it is carried out, before it hears so.
     Crash,
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -557,7 +557,10 @@
             let down_for = self.net.take_outage_end(self.now);
             let map = writes_map(&what);
             let reply = self.state.call(self.now, what, down_for);
-            if map && matches!(reply, StateReply::Committed(_)) && self.crash_at_map_write() {
+            if map
+                && matches!(reply, StateReply::Committed(_))
+                && self.map_fault_due(MapFault::Crash)
+            {
                 return self.crash(node, RESTART_S);
             }
             reply
@@ -586,30 +589,23 @@
         }
     }
 
-    fn crash_at_map_write(&mut self) -> bool {
-        match &mut self.map_fault {
-            Some((left, MapFault::Crash)) => {
-                *left -= 1;
-                let now = *left == 0;
-                if now {
-                    self.map_fault = None;
-                }
-                now
-            }
-            _ => false,
+    /// Counts a write of the map; whether it is the one at which this fault happens.
+    fn map_fault_due(&mut self, fault: MapFault) -> bool {
+        let Some((left, _)) = self.map_fault.as_mut().filter(|(_, due)| *due == fault) else {
+            return false;
+        };
+        *left -= 1;
+        let due = *left == 0;
+        if due {
+            self.map_fault = None;
         }
+        due
     }
 
     /// Whether a transaction is to be carried out late, without an answer.
     fn late_commit(&mut self, what: &StateCall) -> bool {
-        if let (Some((left, MapFault::Late)), true) = (&mut self.map_fault, writes_map(what)) {
-            *left -= 1;
-            if *left == 0 {
-                self.map_fault = None;
-                return true;
-            }
-        }
-        self.net.late_writes() && self.rng.random_bool(0.3)
+        (writes_map(what) && self.map_fault_due(MapFault::Late))
+            || (self.net.late_writes() && self.rng.random_bool(0.3))
     }
 
     fn cloud_request(&mut self, node: usize, epoch: u64, call: CallId, what: CloudCall) {
