Authority ends before an unheard cancellation can be late

Cause: in an outage, vouchers of all controllers carried authority without an end, on the ground that nobody reads the store meanwhile. But the state service may have refused the owner alone just before, while siblings confirmed cancellations that it never read; their tasks ran on until the outage was over.

Now authority, whatever it rests on, ends half of cancel_s (less where the lease leaves less) after the last moment up to which all that users were told is known: from an own sync, or because every sibling told, in answer to a hello, all final states it knows beyond the asker's. A version that doesn't tell leaves the asker uninformed. And an answer to a machine that has not shown its token yet carries stops for what is over, as each answer keeps its tasks alive.

The runner looks for tasks of cancelled jobs when cancel_s is over, not only when somebody asks.

--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -4,7 +4,17 @@
 //! only entitles to write the map, and such writes are guarded by the key itself.
 //!
 //! In an outage of the state service a majority of controllers may vouch for a process, each for a
-//! short time and only while it cannot read the store itself. To hand a lapsed process's share to
+//! short time and only while it cannot read the store itself.
+//!
+//! Whatever authority rests on, it ends before a cancellation that this process has not heard of can
+//! be late. What any user was told up to `informed` is known here: from a sync sent then, or because
+//! every sibling has told, in answer to a question sent then, all final states that it knows. (What
+//! a sibling's earlier process told its users is in what the present one has read since it began.)
+//! So a cancellation unknown here was confirmed after `informed`; machines were last answered before
+//! `informed + outlast`; and what they run ends with their leases, before `cancel_s` is over:
+//! `outlast + lease_s` with drift and a report's way is at most `cancel_s`.
+//!
+//! To hand a lapsed process's share to
 //! others the leader therefore needs, beside the lapse in the store, to know that no voucher is
 //! out: the process has ended, or a majority consents, each of which has no unexpired voucher out
 //! for it and never again vouches for it.
@@ -13,7 +23,7 @@
 use super::peers::Peers;
 use super::view::{LEADER_KEY, ProcessRecord, View, guard, node_key, put};
 use super::{Core, StateCall, StateReply, Time};
-use crate::config::Config;
+use crate::config::{Config, Workers};
 use crate::ids::{Node, Version};
 use crate::wire::Transaction;
 use std::collections::{BTreeMap, BTreeSet};
@@ -45,13 +55,17 @@
     /// Changes whenever the process has to begin anew, as after a restart.
     incarnation: u64,
     majority: usize,
-    controllers: usize,
     /// Life of the lease: short enough that a hand-over ends before the workers' leases do.
     ttl: Time,
     margin: Time,
     voucher: Time,
-    /// How long authority may outlast the store's, if siblings may have accepted cancellations.
+    /// How long authority may last beyond `informed`.
     outlast: Time,
+    /// Every cancellation or end that any user was told before then is known here.
+    informed: Time,
+    /// When each sibling was last asked for all it knows, and told that.
+    told: BTreeMap<Node, Time>,
+    siblings: usize,
     lease: Lease,
     renewed: Time,
     next_renewal: Time,
@@ -71,6 +85,12 @@
     ended_predecessor: Option<u64>,
 }
 
+/// See the argument above.
+fn outlast(workers: &Workers) -> Time {
+    let tasks_end = workers.lease_s * (1.0 + DRIFT) + workers.report_s * 0.5;
+    (workers.cancel_s * 0.5).min((workers.cancel_s - tasks_end) * 0.9).max(0.0)
+}
+
 impl Authority {
     pub fn new(config: &Config, incarnation: u64) -> Self {
         let workers = &config.deployment.workers;
@@ -80,11 +100,13 @@
             node: config.node.clone(),
             incarnation,
             majority: controllers / 2 + 1,
-            controllers,
             ttl,
             margin: ttl * 0.1,
             voucher: workers.lease_s * 0.2,
-            outlast: workers.cancel_s * 0.5,
+            outlast: outlast(workers),
+            informed: Time::NEG_INFINITY,
+            told: BTreeMap::new(),
+            siblings: config.siblings.len(),
             lease: Lease::None,
             renewed: Time::NEG_INFINITY,
             next_renewal: 0.0,
@@ -116,9 +138,25 @@
     /// Whether this process may command the machines that the map gives it.
     pub fn entitled(&self, now: Time) -> bool {
         matches!(self.lease, Lease::Held(_))
+            && now < self.informed + self.outlast
             && (now < self.store_until() || now < self.vouched_until())
     }
 
+    /// Everything that users were told before `asked` is known here.
+    pub fn informed(&mut self, asked: Time) {
+        self.informed = self.informed.max(asked);
+    }
+
+    /// A sibling has told all that it knew when it answered a question sent at `asked`.
+    pub fn told(&mut self, node: &Node, asked: Time) {
+        self.told.insert(node.clone(), asked);
+        if self.told.len() == self.siblings
+            && let Some(earliest) = self.told.values().copied().min_by(Time::total_cmp)
+        {
+            self.informed(earliest);
+        }
+    }
+
     fn store_until(&self) -> Time {
         self.renewed + self.ttl * (1.0 - DRIFT) - self.margin
     }
@@ -130,13 +168,8 @@
         }
         let mut ends: Vec<Time> = self.vouchers.values().copied().collect();
         ends.sort_by(|a, b| b.total_cmp(a));
-        let all = self.controllers.saturating_sub(2);
-        let Some(majority) = self.majority.checked_sub(2).and_then(|i| ends.get(i)) else {
-            return Time::NEG_INFINITY;
-        };
-        // With a voucher from everyone nobody reads the store, so no cancellation passes by.
-        let capped = majority.min(self.renewed + self.outlast);
-        ends.get(all).copied().unwrap_or(Time::NEG_INFINITY).max(capped)
+        let majority = self.majority.checked_sub(2).and_then(|i| ends.get(i));
+        majority.copied().unwrap_or(Time::NEG_INFINITY)
     }
 
     /// The leader's term, if this process holds the leader's key as far as it knows.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -280,7 +280,10 @@
             self.view.state_answered(self.io.now);
         }
         match pending {
-            Pending::Sync { sent } => self.synced(sent, reply),
+            Pending::Sync { sent } => {
+                self.synced(sent, reply);
+                self.authority.informed(self.view.current_as_of);
+            }
             Pending::Desk(pending) => self.desk_reply(pending, reply),
             Pending::Authority(pending) => self.authority_reply(pending, reply),
             Pending::Job(write) => {
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -6,9 +6,10 @@
 use super::news::News;
 use super::owner::{Hints, Owner};
 use super::quiet::Silence;
+use super::view::Finals;
 use super::{Answer, Body, Core, RequestId, Time, UserRequest};
 use crate::config::Config;
-use crate::ids::{JobId, Node};
+use crate::ids::{JobId, Node, Version};
 use crate::wire::JobSpec;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -40,6 +41,9 @@
     pub quiet: Vec<Silence>,
     /// What the sender's share has to tell the receiver's.
     pub news: Option<News>,
+    /// The sender's syncs fail: it asks for final states after this version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub finals_after: Option<Version>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -57,6 +61,10 @@
     pub has_state: bool,
     /// Workers came here lately and were sent to the asker.
     pub sends_workers: bool,
+    /// The answer to `finals_after`. A version without it leaves the asker uninformed, so that its
+    /// authority ends sooner.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub finals: Option<Finals>,
 }
 
 struct Peer {
@@ -176,6 +184,8 @@
             self.quiet.prune(self.view.owners());
         }
         let quiet = self.quiet.all(now);
+        let behind = now - self.view.current_as_of > self.peers.recent;
+        let finals_after = (behind && self.view.complete()).then(|| self.view.finals_known());
         let nodes: Vec<Node> = self.peers.peers.keys().cloned().collect();
         for node in nodes {
             let Some(peer) = self.peers.peers.get_mut(&node) else { continue };
@@ -200,6 +210,7 @@
                 running: running.clone(),
                 quiet: quiet.clone(),
                 news,
+                finals_after,
             };
             let pending = Pending::Hello { node: node.clone(), sent: now };
             self.io.mesh(pending, &node, MeshMessage::Hello(Box::new(hello)));
@@ -261,6 +272,12 @@
             consents,
             has_state: self.has_state(),
             sends_workers,
+            // A view that is being read again knows what it knew before, but one that never was
+            // complete says nothing.
+            finals: hello
+                .finals_after
+                .filter(|_| self.view.complete())
+                .map(|from| self.view.finals_after(from)),
         };
         self.io.mesh_answer(request, MeshReply::Hello(reply));
     }
@@ -279,6 +296,15 @@
                     peer.has_state = reply.has_state;
                     peer.sends_workers = reply.sends_workers;
                 }
+                if let Some(finals) = reply.finals {
+                    let complete = finals.complete;
+                    self.view.take_finals(finals);
+                    if complete {
+                        self.authority.told(&node, sent);
+                    } else {
+                        self.peers.hurry(now);
+                    }
+                }
                 if reply.vouches {
                     self.authority.vouched(&node, sent, now);
                 }
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -15,7 +15,7 @@
 use super::view::View;
 use super::{Answer, Body, Time, WorkerReply};
 use crate::ids::{Attempt, JobId, MachineId, TaskId};
-use crate::wire::{DirectOrders, Exit, Kind, Report, ReportAnswer, ReportedTask, TaskState};
+use crate::wire::{DirectOrders, Exit, Kind, Order, Report, ReportAnswer, ReportedTask, TaskState};
 use std::collections::BTreeSet;
 
 /// Reports that may fail to show a task whose start was in their answers.
@@ -25,6 +25,18 @@
 /// Leases for which a machine that fails every job is set aside.
 const ASIDE_LEASES: f64 = 20.0;
 
+/// Stops for the tasks that a report shows of jobs that are over.
+fn stops_of_ended(report: &Report, view: &View) -> Vec<Order> {
+    let over = |task: &&ReportedTask| {
+        let job = TaskId::parse(&task.task).and_then(|id| view.job(&id.job));
+        task.state != TaskState::Exited && job.is_some_and(|job| job.record.is_final())
+    };
+    let ended = report.tasks.iter().filter(over);
+    ended
+        .map(|task| Order::Stop { task: task.task.clone(), attempt: task.attempt, grace_s: 0.0 })
+        .collect()
+}
+
 impl Owner {
     /// How long after its last answered report a machine may still have its tasks.
     fn lease(&self) -> Time {
@@ -50,6 +62,7 @@
             // Somebody with a later term is in charge; the map will tell.
             return Some(Answer::unavailable());
         }
+        let ended = stops_of_ended(&report, view);
         match machine.freshness(&report, false) {
             Freshness::Copy => return Some(Answer::unavailable()),
             Freshness::Overtaken => {}
@@ -67,8 +80,9 @@
         }
         machine.answered = now;
         machine.empty = false;
-        // Until the machine has shown its token it gets that and no commands.
-        let orders = if machine.trusted { machine.orders() } else { Vec::new() };
+        // Until the machine has shown its token it gets that and no commands but stops of what is over:
+        // an answer keeps its tasks alive, and with one owner after the other it might never get them.
+        let orders = if machine.trusted { machine.orders() } else { ended };
         for held in machine.on.values_mut().filter(|h| h.phase == Phase::Issued) {
             held.in_answer |= machine.trusted && held.stop.is_none();
         }
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -60,6 +60,19 @@
     }
 }
 
+/// Final states that a controller knows beyond those that another one asked from.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Finals {
+    /// Who takes these in knows all up to here.
+    pub upto: Version,
+    /// Nothing that its sender knew is left out.
+    pub complete: bool,
+    pub jobs: Vec<(JobId, Version, JobRecord)>,
+}
+
+/// Final states told at once.
+const FINALS_PAGE: usize = 200;
+
 /// A controller's process, as its own key and the leader's key name it. Both hang on its lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProcessRecord {
@@ -85,6 +98,10 @@
     map_changes: u64,
     /// Jobs whose records changed since the leader last looked.
     changed: BTreeSet<JobId>,
+    /// Jobs by the version of their final state.
+    finals: BTreeSet<(Version, JobId)>,
+    /// Every final state up to here is known: from our own syncs, or a sibling told.
+    finals_known: Version,
     revision: Version,
     /// Newest removal of any other key than a job's, so that an older put cannot bring it back.
     removed: BTreeMap<String, Version>,
@@ -123,6 +140,8 @@
             owners: Owners::default(),
             map_changes: 0,
             changed: BTreeSet::new(),
+            finals: BTreeSet::new(),
+            finals_known: 0,
             revision: 0,
             removed: BTreeMap::new(),
             listing: None,
@@ -194,7 +213,10 @@
     /// team's former owner could start it beside the new one.
     pub fn take_changed(&mut self) -> BTreeSet<JobId> {
         let (jobs, revision) = (&self.jobs, self.revision);
-        let early = |id: &JobId| jobs.get(id).is_some_and(|job| job.version > revision);
+        // What is over only has to stop, so that need not wait.
+        let early = |id: &JobId| {
+            jobs.get(id).is_some_and(|job| job.version > revision && !job.record.is_final())
+        };
         let changed = std::mem::take(&mut self.changed);
         let (wait, changed) = changed.into_iter().partition(early);
         self.changed = wait;
@@ -241,9 +263,7 @@
                 tracing::error!("unreadable record {key}");
                 return;
             };
-            self.changed.insert(id.clone());
-            self.jobs.insert(id, Versioned { version, record: Rc::new(record) });
-            return;
+            return self.put_job(id, record, version);
         }
         if self.removed.get(key).is_some_and(|removed| *removed >= version) {
             return;
@@ -269,6 +289,50 @@
         }
     }
 
+    fn put_job(&mut self, id: JobId, record: JobRecord, version: Version) {
+        if self.jobs.get(&id).is_some_and(|known| known.version >= version) {
+            return;
+        }
+        if record.is_final() {
+            self.finals.insert((version, id.clone()));
+        }
+        self.changed.insert(id.clone());
+        self.jobs.insert(id, Versioned { version, record: Rc::new(record) });
+    }
+
+    /// Up to where this view knows every final state.
+    pub fn finals_known(&self) -> Version {
+        self.finals_known.max(self.revision)
+    }
+
+    /// What this view knows of final states after `from`, a page of it.
+    pub fn finals_after(&self, from: Version) -> Finals {
+        let mut finals = Finals { upto: self.revision, complete: true, jobs: Vec::new() };
+        for (version, id) in self.finals.range((from + 1, JobId::from(""))..) {
+            // States of one transaction share a version, and go together.
+            let last = finals.jobs.last().map(|(_, version, _)| *version);
+            if finals.jobs.len() >= FINALS_PAGE && last != Some(*version) {
+                finals.upto = self.revision.min(last.unwrap_or(from));
+                finals.complete = false;
+                break;
+            }
+            if let Some(job) = self.jobs.get(id) {
+                finals.jobs.push((id.clone(), *version, (*job.record).clone()));
+            }
+        }
+        finals
+    }
+
+    /// Takes up what a sibling knows of final states.
+    pub fn take_finals(&mut self, finals: Finals) {
+        for (id, version, record) in finals.jobs {
+            if record.is_final() {
+                self.put_job(id, record, version);
+            }
+        }
+        self.finals_known = self.finals_known.max(finals.upto);
+    }
+
     fn remove(&mut self, key: &str, version: Version) {
         if key == LEADER_KEY {
             self.leader.take_if(|known| known.version <= version);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Runs every scenario in `tests/scenarios/`, and days of random faults with fixed seeds.
 //!
 //! A scenario is a text file of lines: `seed N`, `controllers N`, `limits VALUE_KB TXN_OPS`,
-//! `machines N`, `spot N`, `at T WHAT …`, `until T`.
+//! `machines N`, `spot N`, `at T WHAT …`, `until T`. `at T expect JOB running` makes sure that troubles meet.
 //! All rules are checked as things happen; in the end everything asked for must be served.
 
 mod world;
@@ -179,6 +179,10 @@
                         let job = jobs[number(words.get(3)) as usize - 1];
                         world.at(at, Event::Cancel { job });
                     }
+                    "expect" => {
+                        let job = jobs[number(words.get(3)) as usize - 1];
+                        world.at(at, Event::Expect { job, what: words[4].to_owned() });
+                    }
                     "submit_again" => {
                         let job = jobs[number(words.get(3)) as usize - 1];
                         world.at(at, Event::Submit { job });
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -100,23 +100,90 @@
 
 /// What happens at a moment.
 pub enum Event {
-    Tick { node: usize, epoch: u64 },
-    Input { node: usize, epoch: u64, input: Box<Input> },
-    State { node: usize, epoch: u64, call: CallId, what: StateCall },
-    Cloud { node: usize, epoch: u64, call: CallId, what: CloudCall },
-    Orders { node: usize, epoch: u64, call: CallId, address: String, orders: DirectOrders },
-    Mesh { from: usize, epoch: u64, call: CallId, to: usize, message: Box<Input> },
-    Report { machine: MachineId, node: usize, report: Report, live: bool },
-    ReportAnswer { machine: MachineId, number: u64, answer: Option<Answer> },
-    Worker { machine: MachineId },
-    BootDone { machine: MachineId },
-    Submit { job: usize },
-    Cancel { job: usize },
-    Poll { job: usize },
+    Tick {
+        node: usize,
+        epoch: u64,
+    },
+    Input {
+        node: usize,
+        epoch: u64,
+        input: Box<Input>,
+    },
+    State {
+        node: usize,
+        epoch: u64,
+        call: CallId,
+        what: StateCall,
+    },
+    Cloud {
+        node: usize,
+        epoch: u64,
+        call: CallId,
+        what: CloudCall,
+    },
+    Orders {
+        node: usize,
+        epoch: u64,
+        call: CallId,
+        address: String,
+        orders: DirectOrders,
+    },
+    Mesh {
+        from: usize,
+        epoch: u64,
+        call: CallId,
+        to: usize,
+        message: Box<Input>,
+    },
+    Report {
+        machine: MachineId,
+        node: usize,
+        report: Report,
+        live: bool,
+    },
+    ReportAnswer {
+        machine: MachineId,
+        number: u64,
+        answer: Option<Answer>,
+    },
+    Worker {
+        machine: MachineId,
+    },
+    BootDone {
+        machine: MachineId,
+    },
+    Submit {
+        job: usize,
+    },
+    Cancel {
+        job: usize,
+    },
+    Poll {
+        job: usize,
+    },
+    /// By now nothing may be left of a cancelled job.
+    CancelDue {
+        job: usize,
+    },
+    /// What a scenario needs to have come about by now, or it proves nothing.
+    Expect {
+        job: usize,
+        what: String,
+    },
     AskUnknown,
-    UserAnswer { job: Option<usize>, ask: users::Ask, asked: f64, answer: Option<Answer> },
-    Restart { node: usize },
-    Thaw { node: usize, epoch: u64 },
+    UserAnswer {
+        job: Option<usize>,
+        ask: users::Ask,
+        asked: f64,
+        answer: Option<Answer>,
+    },
+    Restart {
+        node: usize,
+    },
+    Thaw {
+        node: usize,
+        epoch: u64,
+    },
     Fault(Fault),
     FaultEnds(u64),
 }
@@ -304,6 +371,8 @@
             Event::Submit { job } => self.user_asks(job, users::Ask::Submit),
             Event::Cancel { job } => self.user_asks(job, users::Ask::Cancel),
             Event::Poll { job } => self.user_asks(job, users::Ask::Poll),
+            Event::CancelDue { job } => self.cancel_due(job),
+            Event::Expect { job, what } => self.expect(job, &what),
             Event::AskUnknown => self.ask_unknown(),
             Event::UserAnswer { job, ask, asked, answer } => {
                 self.user_answered(job, ask, asked, answer);
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -160,6 +160,7 @@
         let user = &mut self.users.jobs[job];
         let id = user.id.clone();
         let mut broken: Vec<(&str, String)> = Vec::new();
+        let mut cancelled = false;
         match stance {
             "done" => {
                 if (user.finished.len() as u32) < user.spec.tasks {
@@ -177,6 +178,7 @@
                 }
                 if user.told_cancelled.is_none() {
                     user.told_cancelled = Some(now);
+                    cancelled = true;
                 }
             }
             _ => {
@@ -190,10 +192,36 @@
         for (rule, what) in broken {
             self.breaks(rule, what);
         }
+        if cancelled {
+            self.after(CANCEL_S + 0.01, Event::CancelDue { job });
+        }
         // Users may ask at any later time, only less often.
         self.after(if over { 20.0 } else { 5.0 }, Event::Poll { job });
-        if self.users.cancelled_for_long(&id, now) && self.tasks_on(&id) > 0 {
-            self.breaks("ran_cancelled", format!("{id} still has tasks"));
+    }
+
+    /// `cancel_s` after its user was told, not only when somebody asks: in an outage nobody may.
+    pub(super) fn cancel_due(&mut self, job: usize) {
+        let id = self.users.jobs[job].id.clone();
+        let left = self.tasks_on(&id);
+        if left > 0 {
+            self.breaks("ran_cancelled", format!("{id} still has {left} tasks"));
+        }
+    }
+
+    /// Checks that a scenario's troubles meet as it says.
+    pub(super) fn expect(&mut self, job: usize, what: &str) {
+        let user = &self.users.jobs[job];
+        let id = user.id.clone();
+        let met = match what {
+            "accepted" => user.accepted,
+            "cancelled" => user.told_cancelled.is_some(),
+            "done" => user.told_done.is_some(),
+            "running" => self.tasks_on(&id) > 0,
+            "idle" => self.tasks_on(&id) == 0,
+            other => panic!("expect {other:?}?"),
+        };
+        if !met {
+            self.breaks("no_meeting", format!("{id} is not {what}"));
         }
     }
 
