A cancelled job counts towards its team's limit until its tasks have gone

Cause: a cancelled record keeps no description, so a team's new owner counted nothing of tasks that went on where the stops had not arrived (a deaf or cut machine), and at the limit started others beside them.

--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -98,6 +98,7 @@
             tasks: spec.tasks,
             done: Default::default(),
             spec: Some(Rc::new((**spec).clone())),
+            leaving: None,
         };
         let write = put(&job_key(id), &record, None);
         asked.created = true;
@@ -183,7 +184,8 @@
                 self.reply(asked.reply_to, answer);
             }
             (UserRequest::Cancel(_), Some(job)) => {
-                let write = put(&job_key(&id), &job.record.ended(Stance::Cancelled), None);
+                let record = job.record.cancelled(self.io.wall_ms);
+                let write = put(&job_key(&id), &record, None);
                 self.commit(asked, job_key(&id), job.version, write);
             }
         }
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -85,8 +85,7 @@
     }
 
     pub fn need(&self) -> Room {
-        let spec = &self.spec;
-        Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+        Room::of(&self.spec)
     }
 
     pub fn task(&self, index: u32) -> Option<&Task> {
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -11,7 +11,7 @@
 use super::quiet::Quiet;
 use super::quota::Usage;
 use super::supply::{Catalog, Forecast, Need, Offer};
-use super::view::{JobRecord, View, guard, job_key, put};
+use super::view::{JobRecord, Leaving, View, guard, job_key, put};
 use super::{StateCall, StateReply, Time};
 use crate::config::Config;
 use crate::ids::{Attempt, Image, JobId, MachineId, Node, TaskId, Team, Term, Version};
@@ -33,6 +33,9 @@
     /// Machines that may still hold tasks of it which nobody has told of.
     pub unsettled: BTreeSet<MachineId>,
     attempts: u64,
+    /// Until it is settled: what may be left of its cancelled jobs where nobody has told. None: a
+    /// record that doesn't say whose it was may be one of its own.
+    leaving: Option<Room>,
 }
 
 pub struct Owner {
@@ -246,7 +249,9 @@
     fn gain_team(&mut self, io: &mut Io, view: &View, team: Team, term: Term) {
         tracing::info!("team {team} is ours under term {}", term.0);
         let unsettled = view.owners().machines.keys().cloned().collect();
-        let owned = OwnedTeam { term, gained: view.map_revision(), unsettled, attempts: 0 };
+        let leaving = self.leaving(view, &team, io.wall_ms);
+        let gained = view.map_revision();
+        let owned = OwnedTeam { term, gained, unsettled, attempts: 0, leaving };
         self.teams.insert(team.clone(), owned);
         self.settle_when_known(view);
         let of_team = |record: &JobRecord| record.spec.as_ref().is_some_and(|s| s.team == team);
@@ -258,6 +263,24 @@
         }
     }
 
+    /// What may be left of a team's jobs that were cancelled not long ago.
+    fn leaving(&self, view: &View, team: &Team, wall_ms: u64) -> Option<Room> {
+        // Twice the time after which they are gone: clocks differ, and confirmations take time.
+        let recent = (self.config.deployment.workers.cancel_s * 2e3) as u64;
+        let mut sum = Room::default();
+        let cancelled = |record: &&JobRecord| record.stance == Stance::Cancelled;
+        for record in view.newest_finals().map(|job| &*job.record).filter(cancelled) {
+            let leaving = record.leaving.as_ref()?;
+            if leaving.cancelled_ms + recent < wall_ms {
+                break;
+            }
+            if leaving.team == *team {
+                sum = sum.plus(&leaving.need.times(leaving.tasks));
+            }
+        }
+        Some(sum)
+    }
+
     /// A team's tasks that nobody showed are nowhere once every machine is settled.
     fn settle_when_known(&mut self, view: &View) {
         let machines = &self.machines;
@@ -324,7 +347,7 @@
         (now, wall_ms): (Time, u64),
     ) {
         if record.is_final() {
-            return self.job_over(id);
+            return self.job_over(id, record);
         }
         if let Some(job) = self.jobs.get_mut(id) {
             job.version = version;
@@ -371,8 +394,21 @@
     }
 
     /// Done or cancelled, and recorded so: its tasks go, and their exits may be forgotten.
-    fn job_over(&mut self, id: &JobId) {
+    fn job_over(&mut self, id: &JobId, record: &JobRecord) {
         self.changed |= self.jobs.remove(id).is_some();
+        if record.stance == Stance::Cancelled {
+            let unsettled = self.teams.values_mut().filter(|team| !team.unsettled.is_empty());
+            match &record.leaving {
+                None => unsettled.for_each(|team| team.leaving = None),
+                Some(left) => {
+                    if let Some(team) = self.teams.get_mut(&left.team)
+                        && let Some(sum) = &mut team.leaving
+                    {
+                        *sum = sum.plus(&left.need.times(left.tasks));
+                    }
+                }
+            }
+        }
         for machine in self.machines.values_mut() {
             for ((task, _), held) in &mut machine.on {
                 if task.job != *id {
@@ -436,7 +472,7 @@
             }
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let record = if job.all_done() {
-                job.record.ended(Stance::Done)
+                job.record.done()
             } else {
                 let mut done = job.done.clone();
                 done.keep_largest(ranges);
@@ -538,18 +574,37 @@
             let tasks = f64::from(job.unsettled());
             usage.add(&job.spec.team, job.spec.cpus * tasks, job.spec.gpus * tasks);
         }
+        // Cancelled jobs' tasks run on where a stop has not arrived, and a new owner has to count
+        // them too: a limit holds for what runs, wanted or not.
+        for (name, team) in self.teams.iter().filter(|(_, team)| !team.unsettled.is_empty()) {
+            match &team.leaving {
+                Some(room) => usage.add(name, room.cpus, room.gpus),
+                None => usage.close(name),
+            }
+        }
+        // Somebody's task that is over, of a record that doesn't say whose.
+        let stray = |held: &Held| held.team.is_none() && held.forget && !held.exited();
+        if self.machines.values().flat_map(|m| m.on.values()).any(stray) {
+            self.teams.keys().for_each(|name| usage.close(name));
+        }
         usage
     }
 }
 
 pub(super) fn describe(held: &mut Held, spec: &JobSpec) {
-    held.room = Some(Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb });
+    held.room = Some(Room::of(spec));
     held.team = Some(spec.team.clone());
     held.image = Some((spec.image.clone(), spec.image_gb));
     held.priority = spec.priority;
     held.save_s = if spec.checkpoint_s > 0.0 { spec.save_s } else { 0.0 };
 }
 
+/// What is left of a cancelled job, as its record tells.
+pub(super) fn describe_leaving(held: &mut Held, leaving: &Leaving) {
+    held.room = Some(leaving.need);
+    held.team = Some(leaving.team.clone());
+}
+
 #[cfg(test)]
 mod tests {
     use super::super::part_map::{MapChunk, Owner as MapOwner, Share};
@@ -567,7 +622,14 @@
             ranges.insert(1);
         }
         let spec = Some(Rc::new(serde_json::from_value(spec).unwrap()));
-        JobRecord { stance: Stance::Pending, accepted_ms: 0, tasks: 2, done: ranges, spec }
+        JobRecord {
+            stance: Stance::Pending,
+            accepted_ms: 0,
+            tasks: 2,
+            done: ranges,
+            spec,
+            leaving: None,
+        }
     }
 
     fn share() -> (Owner, Io, View) {
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -3,18 +3,33 @@
 //! and memory fractions. Pure: it looks at candidates and picks one.
 
 use super::Time;
+use crate::wire::JobSpec;
+use serde::{Deserialize, Serialize};
 
 /// Rounding of amounts never makes room that is not there, nor hides room that is.
 const EPSILON: f64 = 1e-6;
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Room {
+    #[serde(rename = "cpu")]
     pub cpus: f64,
+    #[serde(rename = "gpu")]
     pub gpus: f64,
+    #[serde(rename = "mem")]
     pub memory_gb: f64,
 }
 
 impl Room {
+    /// What each task of a job takes.
+    pub fn of(spec: &JobSpec) -> Room {
+        Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+    }
+
+    pub fn times(&self, count: u32) -> Room {
+        let count = f64::from(count);
+        Room { cpus: self.cpus * count, gpus: self.gpus * count, memory_gb: self.memory_gb * count }
+    }
+
     pub fn less(&self, taken: &Room) -> Room {
         Room {
             cpus: self.cpus - taken.cpus,
--- a/src/core/quota.rs
+++ b/src/core/quota.rs
@@ -2,29 +2,40 @@
 
 use crate::config::TeamLimits;
 use crate::ids::Team;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const EPSILON: f64 = 1e-6;
 
 /// What each team may be using at this moment.
 #[derive(Debug, Default)]
-pub struct Usage(BTreeMap<Team, (f64, f64)>);
+pub struct Usage {
+    used: BTreeMap<Team, (f64, f64)>,
+    /// Of these it is not known what they use: those with limits start nothing.
+    closed: BTreeSet<Team>,
+}
 
 impl Usage {
     pub fn add(&mut self, team: &Team, cpus: f64, gpus: f64) {
-        let used = self.0.entry(team.clone()).or_default();
+        let used = self.used.entry(team.clone()).or_default();
         used.0 += cpus;
         used.1 += gpus;
     }
 
+    pub fn close(&mut self, team: &Team) {
+        self.closed.insert(team.clone());
+    }
+
     fn of(&self, team: &Team) -> (f64, f64) {
-        self.0.get(team).copied().unwrap_or_default()
+        self.used.get(team).copied().unwrap_or_default()
     }
 
     /// Whether the team may use this much more without passing its limit.
     pub fn allows(&self, limits: &TeamLimits, cpus: f64, gpus: f64) -> bool {
         let used = self.of(&limits.name);
-        within(used.0 + cpus, limits.cpus_max) && within(used.1 + gpus, limits.gpus_max)
+        let limited = limits.cpus_max > 0.0 || limits.gpus_max > 0.0;
+        !(limited && self.closed.contains(&limits.name))
+            && within(used.0 + cpus, limits.cpus_max)
+            && within(used.1 + gpus, limits.gpus_max)
     }
 
     /// Whether the team, with this much more, stays inside what it is guaranteed.
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -202,7 +202,7 @@
     fn hold_warm(&self, slots: &mut [Slot], catalog: &Catalog, now: Time) {
         let tight = self.forecast.tight_images(&self.config, catalog.types(), now);
         for (image, (spec, recent)) in tight {
-            let need = Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb };
+            let need = Room::of(&spec);
             let zones: BTreeSet<Zone> = slots.iter().map(|slot| slot.zone.clone()).collect();
             for zone in &zones {
                 let mut wanted = recent.div_ceil(zones.len() as u32).max(1);
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -54,7 +54,7 @@
         }
         let Some(limits) = limits(config, spec) else { return Some(true) };
         let (cpus, gpus) = least_need(spec);
-        let need = need_of(spec);
+        let need = Room::of(spec);
         let fits = |t: &MachineType| {
             spec.types.as_ref().is_none_or(|types| types.contains(&t.name)) && room(t).holds(&need)
         };
@@ -67,10 +67,6 @@
     Room { cpus: of.cpus, gpus: of.gpus, memory_gb: of.memory_gb }
 }
 
-fn need_of(spec: &JobSpec) -> Room {
-    Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
-}
-
 /// A kind of machine that can be rented: type, zone, and whether spot.
 pub type Offer = (TypeName, Zone, bool);
 
@@ -318,7 +314,7 @@
         }
         for wanted in self.demand(types, now) {
             let Wanted { spec, count, zones: mut per_zone, waits } = wanted;
-            let one = need_of(&spec);
+            let one = Room::of(&spec);
             if waits {
                 let size = if one.gpus > 0.0 { one.gpus } else { one.cpus };
                 need.queued += size * f64::from(count);
@@ -580,7 +576,7 @@
     #[test]
     fn the_cheapest_offer_per_task_is_wanted() {
         let (types, job) = (types(), spec("chat", "x", 1.0));
-        let need = need_of(&job);
+        let need = Room::of(&job);
         let zones = BTreeMap::from([(Zone::from("a"), 3)]);
         let best = |refused: &BTreeSet<Offer>| {
             cheapest(&types, &job, &need, &|_| true, &zones, refused).map(|(offer, _)| offer)
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -8,7 +8,7 @@
 use super::io::Io;
 use super::jobs::Task;
 use super::machines::{Freshness, Held, Phase};
-use super::owner::{Owner, describe};
+use super::owner::{Owner, describe, describe_leaving};
 use super::placement::Room;
 use super::quiet::Silence;
 use super::supply::Catalog;
@@ -197,9 +197,13 @@
         };
         let held = machine.on.entry((task.clone(), attempt)).or_insert_with(|| Held::new(now));
         if held.team.is_none()
-            && let Some(spec) = stored.and_then(|record| record.spec.as_ref())
+            && let Some(record) = stored
         {
-            describe(held, spec);
+            match (&record.spec, &record.leaving) {
+                (Some(spec), _) => describe(held, spec),
+                (None, Some(leaving)) => describe_leaving(held, leaving),
+                (None, None) => {}
+            }
         }
         let news = std::mem::replace(&mut held.phase, phase.clone()) != phase;
         if held.has_image() && held.began.is_none() {
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -5,10 +5,11 @@
 
 use super::io::Pending;
 use super::part_map::{MapChunk, Owners};
+use super::placement::Room;
 use super::ranges::Ranges;
 use super::{Core, StateCall, StateReply, Time};
 use crate::config::Config;
-use crate::ids::{JobId, Node, Version};
+use crate::ids::{JobId, Node, Team, Version};
 use crate::wire::{Change, Guard, JobSpec, MachineTypes, Stance, Write};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -47,6 +48,23 @@
     /// Final states do without, so that keeping them for ever costs little.
     #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
     pub spec: Option<Rc<JobSpec>>,
+    /// When it was cancelled, by the time of day of who did so, and what its tasks take until they
+    /// have gone: they count towards their team's limit.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub leaving: Option<Leaving>,
+}
+
+/// What may be left of a cancelled job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Leaving {
+    #[serde(rename = "at")]
+    pub cancelled_ms: u64,
+    #[serde(rename = "t")]
+    pub team: Team,
+    #[serde(rename = "n")]
+    pub tasks: u32,
+    #[serde(rename = "r")]
+    pub need: Room,
 }
 
 impl JobRecord {
@@ -54,9 +72,19 @@
         matches!(self.stance, Stance::Done | Stance::Cancelled)
     }
 
-    pub fn ended(&self, stance: Stance) -> Self {
+    pub fn done(&self) -> Self {
         let done = Ranges::default();
-        Self { stance, done, spec: None, ..self.clone() }
+        Self { stance: Stance::Done, done, spec: None, ..self.clone() }
+    }
+
+    pub fn cancelled(&self, wall_ms: u64) -> Self {
+        let leaving = self.spec.as_ref().map(|spec| Leaving {
+            cancelled_ms: wall_ms,
+            team: spec.team.clone(),
+            tasks: self.tasks.saturating_sub(self.done.len()),
+            need: Room::of(spec),
+        });
+        Self { stance: Stance::Cancelled, leaving, ..self.done() }
     }
 }
 
@@ -323,6 +351,11 @@
         finals
     }
 
+    /// Final states, newest first.
+    pub fn newest_finals(&self) -> impl Iterator<Item = &Versioned<Rc<JobRecord>>> {
+        self.finals.iter().rev().filter_map(|(_, id)| self.jobs.get(id))
+    }
+
     /// Takes up what a sibling knows of final states.
     pub fn take_finals(&mut self, finals: Finals) {
         for (id, version, record) in finals.jobs {
