--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -139,6 +139,15 @@
             Fault::AtMapWrite { nth: number(rest.first()) as usize, fault: MapFault::Late }
         }
         "copies" => Fault::Copies { seconds: number(rest.first()) },
+        "machine_mute" => Fault::MachineMute {
+            which: number(rest.first()) as usize,
+            seconds: number(rest.get(1)),
+        },
+        "lost_answers" => Fault::LostAnswers { seconds: number(rest.first()) },
+        "copies_for_next" => Fault::CopiesForNext { seconds: number(rest.first()) },
+        "instant_boots" => Fault::InstantBoots { seconds: number(rest.first()) },
+        "close_looks" => Fault::CloseLooks { seconds: number(rest.first()) },
+        "cancel_at_end" => Fault::CancelAtEnd { seconds: number(rest.first()) },
         other => panic!("fault {other:?}?"),
     }
 }
@@ -424,6 +433,70 @@
     day + "until 330\n"
 }
 
+/// A day of meetings: two or three troubles begin within seconds of one another, while jobs are
+/// cancelled and the limited team has as much to run as it may.
+fn meeting_day(seed: u64) -> String {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let controllers = if seed.is_multiple_of(2) { 5 } else { 3 };
+    let machines = rng.random_range(7..14);
+    let mut day = format!("seed {seed}\ncontrollers {controllers}\nmachines {machines}\nspot 2\n");
+    let mut jobs = 0;
+    for _ in 0..rng.random_range(14..26) {
+        let at = f64::from(rng.random_range(10..1300)) / 10.0;
+        let run = rng.random_range(1..60);
+        let tasks = rng.random_range(1..9);
+        let job = match rng.random_range(0..8) {
+            0 | 1 => format!("array {tasks} run={run} spot team=blue"),
+            2 => format!("array {tasks} run={run} zone=b"),
+            3 => format!("gang {} run={run} onezone", tasks.min(3)),
+            4 => format!("service {} spread", tasks.min(4)),
+            5 => format!("array {tasks} run={run} team=blue"),
+            _ => format!("array {} run={run}", tasks.min(2)),
+        };
+        day += &format!("at {at} job {job}\n");
+        jobs += 1;
+    }
+    for _ in 0..rng.random_range(2..5) {
+        let at = f64::from(rng.random_range(150..1300)) / 10.0;
+        let quick = f64::from(rng.random_range(0..40)) / 10.0;
+        for _ in 0..rng.random_range(1..4) {
+            day += &format!("at {} cancel {}\n", at + quick, rng.random_range(1..=jobs));
+        }
+        for _ in 0..rng.random_range(2..4) {
+            let begins = at + f64::from(rng.random_range(0..60)) / 10.0;
+            let s = rng.random_range(2..36);
+            let who = ["leader", "n0", "n1", "n2"][rng.random_range(0..4)];
+            let hold = ["", "hold"][rng.random_range(0..2)];
+            let which = rng.random_range(0..machines);
+            let back = f64::from(rng.random_range(2..80)) / 10.0;
+            let fault = match rng.random_range(0..22) {
+                0 | 1 => format!("crash {who} {back}"),
+                2 => format!("crash all {back}"),
+                3 => format!("outage {s}"),
+                4 | 5 => format!("refuse {who} {}", s.min(14)),
+                6 => format!("cut {who} workers {s} {hold}"),
+                7 => format!("cut {who} state+siblings {s} {hold}"),
+                8 => format!("cut {who} everyone {s} {hold}"),
+                9 => format!("machine_dies {which}"),
+                10 => format!("machine_cut {which} {s} {hold}"),
+                11 | 12 => format!("machine_deaf {which} {s}"),
+                13 => format!("machine_mute {which} {s}"),
+                14 => format!("machine_hangs {which} {s}"),
+                15 => format!("zone_cut b {s} {hold}"),
+                16 => format!("freeze {who} {s}"),
+                17 => format!("late_writes {s}"),
+                18 => format!("lost_answers {s}"),
+                19 => format!("copies_for_next {s}"),
+                20 => format!("copies {s}"),
+                _ => format!("instant_boots {s}"),
+            };
+            day += &format!("at {begins} {fault}\n");
+        }
+        day += &format!("at {at} close_looks 20\nat {at} cancel_at_end 20\n");
+    }
+    day + "until 360\n"
+}
+
 fn days(variable: &str, ordinary: &str) -> std::ops::RangeInclusive<u64> {
     let days = std::env::var(variable).unwrap_or_else(|_| ordinary.into());
     let (from, to) = days.split_once('-').unwrap();
@@ -441,6 +514,17 @@
     assert!(failures.is_empty(), "{} days:\n{}", failures.len(), failures.join("\n\n"));
 }
 
+#[test]
+fn meeting_days() {
+    // More days by hand: MEETING_DAYS=from-to.
+    let mut failures = Vec::new();
+    for seed in days("MEETING_DAYS", "1-40") {
+        let day = meeting_day(seed);
+        failures.extend(report(&format!("meeting day {seed}\n{day}"), &play(&day)));
+    }
+    assert!(failures.is_empty(), "{} days:\n{}", failures.len(), failures.join("\n\n"));
+}
+
 #[test]
 fn random_days() {
     // More days by hand: RANDOM_DAYS=from-to.
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -96,6 +96,31 @@
     Copies {
         seconds: f64,
     },
+    /// Its reports reach no controller, direct commands reach it.
+    MachineMute {
+        which: usize,
+        seconds: f64,
+    },
+    /// Some transactions are carried out at once, but their answers are lost.
+    LostAnswers {
+        seconds: f64,
+    },
+    /// Copies of reports are kept until another controller leads, and then reach every controller.
+    CopiesForNext {
+        seconds: f64,
+    },
+    /// New machines are up within two seconds.
+    InstantBoots {
+        seconds: f64,
+    },
+    /// Users ask all controllers, and repeat their submissions, right after they were told anything.
+    CloseLooks {
+        seconds: f64,
+    },
+    /// Some jobs are called off at the moment of their end.
+    CancelAtEnd {
+        seconds: f64,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,8 +138,14 @@
     Cut { a: Who, b: Who, hold: bool },
     Deaf(MachineId),
     Faulty(MachineId),
+    Mute(MachineId),
     Copies,
     LateWrites,
+    LostAnswers,
+    CopiesForNext,
+    InstantBoots,
+    CloseLooks,
+    CancelAtEnd,
 }
 
 #[derive(Default)]
@@ -171,6 +202,30 @@
         self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Faulty(m) if m == machine))
     }
 
+    pub fn mute(&self, machine: &MachineId) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Mute(m) if m == machine))
+    }
+
+    pub fn lost_answers(&self) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::LostAnswers))
+    }
+
+    pub fn copies_for_next(&self) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::CopiesForNext))
+    }
+
+    pub fn instant_boots(&self) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::InstantBoots))
+    }
+
+    pub fn close_looks(&self) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::CloseLooks))
+    }
+
+    pub fn cancel_at_end(&self) -> bool {
+        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::CancelAtEnd))
+    }
+
     pub fn copies(&self) -> bool {
         self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Copies))
     }
@@ -299,6 +354,16 @@
             Fault::LateWrites { seconds } => lasting.push((seconds, Kind::LateWrites)),
             Fault::AtMapWrite { nth, fault } => self.map_fault = Some((nth.max(1), fault)),
             Fault::Copies { seconds } => lasting.push((seconds, Kind::Copies)),
+            Fault::MachineMute { which, seconds } => {
+                if let Some(machine) = self.machine_at(which) {
+                    lasting.push((seconds, Kind::Mute(machine)));
+                }
+            }
+            Fault::LostAnswers { seconds } => lasting.push((seconds, Kind::LostAnswers)),
+            Fault::CopiesForNext { seconds } => lasting.push((seconds, Kind::CopiesForNext)),
+            Fault::InstantBoots { seconds } => lasting.push((seconds, Kind::InstantBoots)),
+            Fault::CloseLooks { seconds } => lasting.push((seconds, Kind::CloseLooks)),
+            Fault::CancelAtEnd { seconds } => lasting.push((seconds, Kind::CancelAtEnd)),
         }
         for (seconds, kind) in lasting {
             let id = self.net.add(now + seconds, kind);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -161,6 +161,12 @@
     Poll {
         job: usize,
     },
+    /// A poll or repeat at this controller, whatever it is answered.
+    Look {
+        job: usize,
+        node: usize,
+        ask: users::Ask,
+    },
     /// By now nothing may be left of a cancelled job.
     CancelDue {
         job: usize,
@@ -241,6 +247,9 @@
     pub log: Vec<String>,
     pub work: Work,
     pub limits: Limits,
+    /// Reports kept for the next leader, and who led last.
+    kept: Vec<(MachineId, Report)>,
+    led: Option<usize>,
     /// What happens at the map write that comes after so many more.
     map_fault: Option<(usize, MapFault)>,
 }
@@ -282,6 +291,8 @@
             log: Vec::new(),
             work: Work::default(),
             limits: Limits { value_kb: 4.0, txn_ops: 8 },
+            kept: Vec::new(),
+            led: None,
             map_fault: None,
         };
         for node in 0..controllers {
@@ -342,6 +353,7 @@
             Event::Tick { node, epoch } => {
                 if self.nodes[node].epoch == epoch && self.nodes[node].core.is_some() {
                     self.step(node, Vec::new());
+                    self.copies_to_new_leader();
                     self.after(TICK_S, Event::Tick { node, epoch });
                 }
             }
@@ -371,6 +383,7 @@
             Event::Submit { job } => self.user_asks(job, users::Ask::Submit),
             Event::Cancel { job } => self.user_asks(job, users::Ask::Cancel),
             Event::Poll { job } => self.user_asks(job, users::Ask::Poll),
+            Event::Look { job, node, ask } => self.look(job, node, ask),
             Event::CancelDue { job } => self.cancel_due(job),
             Event::Expect { job, what } => self.expect(job, &what),
             Event::AskUnknown => self.ask_unknown(),
@@ -428,6 +441,22 @@
         (self.now - self.nodes[node].started) * self.nodes[node].rate
     }
 
+    /// Kept copies of reports reach every controller as another one begins to lead.
+    fn copies_to_new_leader(&mut self) {
+        let leader = self.leader();
+        if self.kept.is_empty() || leader.is_none() || leader == self.led {
+            self.led = leader.or(self.led);
+            return;
+        }
+        self.led = leader;
+        for (machine, report) in std::mem::take(&mut self.kept) {
+            for node in 0..self.nodes.len() {
+                let (machine, report) = (machine.clone(), report.clone());
+                self.after(0.01, Event::Report { machine, node, report, live: false });
+            }
+        }
+    }
+
     /// The controller that acts, if one does.
     pub fn leader(&self) -> Option<usize> {
         (0..self.nodes.len()).find(|node| {
@@ -463,7 +492,8 @@
         match asker {
             Asker::User { job, ask, asked } => {
                 // Users wait for 2 or 5 s; what comes later they never see.
-                let patience = if ask == users::Ask::Poll { 2.0 } else { 5.0 };
+                let poll = matches!(ask, users::Ask::Poll | users::Ask::Look);
+                let patience = if poll { 2.0 } else { 5.0 };
                 let answer = answer.filter(|_| self.now < asked + patience);
                 self.after(delay, Event::UserAnswer { job, ask, asked, answer });
             }
@@ -537,6 +567,16 @@
                 let unsent = Box::new(Input::State(call, StateReply::Refused));
                 let late = matches!(what, StateCall::Commit(_)) && self.late_commit(&what);
                 let event = Event::State { node, epoch, call, what };
+                if matches!(&event, Event::State { what: StateCall::Commit(_), .. })
+                    && self.net.lost_answers()
+                    && self.rng.random_bool(0.3)
+                {
+                    // Nobody is of this epoch, so the answer reaches nobody.
+                    if let Event::State { node, call, what, .. } = event {
+                        self.after(0.002, Event::State { node, epoch: u64::MAX, call, what });
+                    }
+                    return self.after(LEASE_S / 12.0, Event::Input { node, epoch, input: lost });
+                }
                 if late {
                     let delay = self.rng.random_range(1.5..LEASE_S * 1.5);
                     self.after(delay, event);
@@ -684,7 +724,8 @@
         }
         let (reply, booting) = self.cloud.call(self.now, what);
         for machine in booting {
-            let boot = self.rng.random_range(6.0..14.0);
+            let boot = if self.net.instant_boots() { 0.3..2.0 } else { 6.0..14.0 };
+            let boot = self.rng.random_range(boot);
             self.after(boot, Event::BootDone { machine });
         }
         for machine in self.cloud.take_deleted() {
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -12,6 +12,9 @@
     Submit,
     Poll,
     Cancel,
+    /// A poll or a repeat beside the usual ones, which nothing follows.
+    Look,
+    Repeat,
 }
 
 struct User {
@@ -83,17 +86,26 @@
 
 impl World {
     pub(super) fn user_asks(&mut self, job: usize, ask: Ask) {
+        self.user_asks_at(job, ask, None);
+    }
+
+    pub(super) fn look(&mut self, job: usize, node: usize, ask: Ask) {
+        self.user_asks_at(job, ask, Some(node));
+    }
+
+    fn user_asks_at(&mut self, job: usize, ask: Ask, node: Option<usize>) {
         let user = &mut self.users.jobs[job];
         let id = user.id.clone();
         let what = match ask {
             Ask::Submit => UserRequest::Submit(id, Box::new(user.spec.clone())),
-            Ask::Poll => UserRequest::Poll(id),
+            Ask::Poll | Ask::Look => UserRequest::Poll(id),
+            Ask::Repeat => UserRequest::Submit(id, Box::new(user.spec.clone())),
             Ask::Cancel => {
                 user.wants_cancel = true;
                 UserRequest::Cancel(id)
             }
         };
-        let node = self.rng.random_range(0..self.nodes.len());
+        let node = node.unwrap_or_else(|| self.rng.random_range(0..self.nodes.len()));
         self.ask_node(
             node,
             Asker::User { job: Some(job), ask, asked: self.now },
@@ -101,6 +113,30 @@
         );
     }
 
+    /// Right after a user was told something: at all controllers within milliseconds.
+    fn look_closely(&mut self, job: usize) {
+        if !self.net.close_looks() {
+            return;
+        }
+        for node in 0..self.nodes.len() {
+            for (delay, ask) in [(0.0005, Ask::Look), (0.003, Ask::Repeat), (0.02, Ask::Look)] {
+                self.after(delay, Event::Look { job, node, ask });
+            }
+        }
+    }
+
+    /// A job is called off at the moment of its end.
+    pub(super) fn called_off_at_end(&mut self, id: &JobId) {
+        if !self.net.cancel_at_end() || !self.rng.random_bool(0.5) {
+            return;
+        }
+        let ended = |user: &User| user.id == *id && user.finished.len() as u32 == user.spec.tasks;
+        if let Some(job) = self.users.jobs.iter().position(ended) {
+            let delay = self.rng.random_range(0.0..1.0);
+            self.after(delay, Event::Cancel { job });
+        }
+    }
+
     pub(super) fn ask_unknown(&mut self) {
         let node = self.rng.random_range(0..self.nodes.len());
         let what = UserRequest::Poll("req-999999".into());
@@ -135,13 +171,14 @@
                 if ask == Ask::Submit && !user.accepted {
                     user.accepted = true;
                     self.after(1.0, Event::Poll { job });
+                    self.look_closely(job);
                 }
-                return self.check_told(job, asked, &stance);
+                return self.check_told(job, ask, asked, &stance);
             }
-            (Ask::Poll, Some(404)) if user.accepted => {
+            (Ask::Poll | Ask::Look, Some(404)) if user.accepted => {
                 self.breaks("forgotten", format!("{id} is answered 404"));
             }
-            (Ask::Submit, Some(status @ (400 | 422))) if user.accepted => {
+            (Ask::Submit | Ask::Repeat, Some(status @ (400 | 422))) if user.accepted => {
                 self.breaks("forgotten", format!("{id} is answered {status}"));
             }
             _ => {}
@@ -150,17 +187,19 @@
             Ask::Submit => self.after(1.0, Event::Submit { job }),
             Ask::Cancel => self.after(1.0, Event::Cancel { job }),
             Ask::Poll => self.after(5.0, Event::Poll { job }),
+            Ask::Look | Ask::Repeat => {}
         }
     }
 
     /// What was asked before something was told may still be answered without it: answers to
     /// questions that overlap come in any order (found by random day 1026).
-    fn check_told(&mut self, job: usize, asked: f64, stance: &str) {
+    fn check_told(&mut self, job: usize, ask: Ask, asked: f64, stance: &str) {
         let now = self.now;
         let user = &mut self.users.jobs[job];
         let id = user.id.clone();
         let mut broken: Vec<(&str, String)> = Vec::new();
         let mut cancelled = false;
+        let ended_before = user.told_done.is_some() || user.told_cancelled.is_some();
         match stance {
             "done" => {
                 if (user.finished.len() as u32) < user.spec.tasks {
@@ -195,6 +234,12 @@
         if cancelled {
             self.after(CANCEL_S + 0.01, Event::CancelDue { job });
         }
+        if over && !ended_before {
+            self.look_closely(job);
+        }
+        if matches!(ask, Ask::Look | Ask::Repeat) {
+            return;
+        }
         // Users may ask at any later time, only less often.
         self.after(if over { 20.0 } else { 5.0 }, Event::Poll { job });
     }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -159,6 +159,12 @@
             report: report.clone(),
             live,
         };
+        if self.net.copies_for_next() && self.rng.random_bool(0.3) {
+            self.kept.push((id.clone(), report.clone()));
+        }
+        if self.net.mute(id) {
+            return;
+        }
         if let Some(delay) = self.copy_delay() {
             self.after(delay, event(&report, false));
         }
@@ -382,6 +388,7 @@
                     if spec.kind == Kind::Gang {
                         self.gang_completes(&task.job, attempt, spec.tasks);
                     }
+                    self.called_off_at_end(&task.job);
                 }
                 TaskState::Saving => {
                     running.saved = true;
