Jobs that need others: stored apart, started when all is done, cancelled with what they need

A submission may name jobs that have to be done first (awaits). Whoever reads the records derives the rest: a job is ready once all it needs is durably done, and cancelled from the moment at which one that it needs is, directly or through others; its owner writes that down at leisure. Priority and deadline pass to what a job needs. A version that does not know dependencies sees such a job without a description: it answers for it and cancels it, but never starts or rewrites it. Of state.next the lower limits hold from the start, and larger values of the map are split when next written.

--- a/src/config.rs
+++ b/src/config.rs
@@ -94,6 +94,27 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Limits that hold from some moment on, which nobody is told.
+    pub next: Option<NextLimits>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct NextLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// As the moment is not told, the lower of both holds from the start.
+    fn lower(&mut self) {
+        let Some(next) = self.next.take() else { return };
+        self.rps = next.rps.map_or(self.rps, |rps| self.rps.min(rps));
+        self.write_rps = next.write_rps.map_or(self.write_rps, |rps| self.write_rps.min(rps));
+        self.value_kb = next.value_kb.map_or(self.value_kb, |kb| self.value_kb.min(kb));
+        self.txn_ops = next.txn_ops.map_or(self.txn_ops, |ops| self.txn_ops.min(ops));
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -116,9 +137,10 @@
     }
 
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let config: Self = toml::from_str(text)
+        let mut config: Self = toml::from_str(text)
             .map_err(|e| ConfigError::Parse(e.to_string().trim().replace('\n', " | ")))?;
         config.check()?;
+        config.deployment.state.lower();
         Ok(config)
     }
 
@@ -148,6 +170,20 @@
                 return invalid(field, "must not be negative");
             }
         }
+        if let Some(next) = &d.state.next {
+            for (field, value) in [
+                ("deployment.state.next.rps", next.rps),
+                ("deployment.state.next.write_rps", next.write_rps),
+                ("deployment.state.next.value_kb", next.value_kb),
+            ] {
+                if value.is_some_and(|value| !(value.is_finite() && value > 0.0)) {
+                    return invalid(field, "must be a positive number");
+                }
+            }
+            if next.txn_ops.is_some_and(|ops| ops < 2) {
+                return invalid("deployment.state.next.txn_ops", "must be at least 2");
+            }
+        }
         if d.state.txn_ops < 2 {
             return invalid("deployment.state.txn_ops", "must be at least 2");
         }
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -76,31 +76,51 @@
             // Cut from the state service alone: a sibling answers at once what would be late here.
             return self.pass_on(asked);
         }
-        if let UserRequest::Submit(id, spec) = &asked.what
-            && self.view.job(id).is_none()
-        {
-            let Some(refusal) = self.catalog.refusal(&self.config, spec) else {
-                return self.give_up(asked);
-            };
-            if refusal {
-                return self.reply(asked.reply_to, Answer::empty(422));
-            }
-            return self.create(asked);
+        self.consider(asked);
+    }
+
+    /// A submission that is new here is created; all else is read.
+    fn consider(&mut self, asked: Asked) {
+        match &asked.what {
+            UserRequest::Submit(id, _) if self.view.job(id).is_none() => self.create(asked),
+            _ => self.settle(asked),
         }
-        self.settle(asked);
     }
 
     fn create(&mut self, mut asked: Asked) {
         let UserRequest::Submit(id, spec) = &asked.what else { return };
+        let Some(refusal) = self.catalog.refusal(&self.config, spec) else {
+            return self.give_up(asked);
+        };
+        if refusal {
+            return self.reply(asked.reply_to, Answer::empty(422));
+        }
+        if spec.dependencies.iter().any(|needed| self.view.job(needed).is_none()) {
+            // Only a read since the question tells that nobody ever accepted it.
+            if self.view.current_as_of >= asked.needs {
+                let error = serde_json::json!({"error": "awaits: a job that was never accepted"});
+                return self.reply(asked.reply_to, Answer::value(422, error));
+            }
+            self.view.want_sync();
+            return self.desk.waiting.push(asked);
+        }
         let record = JobRecord {
             stance: Stance::Pending,
             accepted_ms: self.io.wall_ms,
             tasks: spec.tasks,
             done: Default::default(),
             spec: Some(Rc::new((**spec).clone())),
+            ended_ms: None,
             leaving: None,
         };
         let write = put(&job_key(id), &record, None);
+        if let Write::Put { value, .. } = &write
+            && value.to_string().len() as f64 > self.config.deployment.state.value_kb * 1024.0
+        {
+            // The state service would refuse it for ever.
+            let error = serde_json::json!({"error": "too large: awaits or breeds name too many"});
+            return self.reply(asked.reply_to, Answer::value(422, error));
+        }
         asked.created = true;
         let key = job_key(id);
         self.commit(asked, key, 0, write);
@@ -124,7 +144,9 @@
                 self.view.want_sync();
                 match &asked.what {
                     UserRequest::Submit(id, _) => {
-                        let answer = Answer::value(201, stance_answer(id, Stance::Pending));
+                        let doomed = self.view.doomed(id);
+                        let stance = if doomed { Stance::Cancelled } else { Stance::Pending };
+                        let answer = Answer::value(201, stance_answer(id, stance));
                         self.reply(asked.reply_to, answer);
                     }
                     UserRequest::Cancel(id) => {
@@ -153,7 +175,8 @@
     fn settle(&mut self, mut asked: Asked) {
         let id = asked.what.job().clone();
         let known = self.view.job(&id).cloned();
-        let ended = known.as_ref().is_some_and(|job| job.record.is_final());
+        let doomed = self.view.doomed(&id);
+        let ended = doomed || known.as_ref().is_some_and(|job| job.record.is_final());
         if !ended && self.view.current_as_of < asked.needs {
             self.view.want_sync();
             self.desk.waiting.push(asked);
@@ -179,8 +202,9 @@
                 let answer = Answer::value(200, state_answer(&id, stance, done, running));
                 self.reply(asked.reply_to, answer);
             }
-            (UserRequest::Cancel(_), Some(job)) if job.record.is_final() => {
-                let answer = Answer::value(200, stance_answer(&id, job.record.stance));
+            (UserRequest::Cancel(_), Some(job)) if ended => {
+                let stance = self.display(&id, &job.record).0;
+                let answer = Answer::value(200, stance_answer(&id, stance));
                 self.reply(asked.reply_to, answer);
             }
             (UserRequest::Cancel(_), Some(job)) => {
@@ -196,6 +220,7 @@
         match record.stance {
             Stance::Done => (Stance::Done, record.tasks, 0),
             Stance::Cancelled => (Stance::Cancelled, 0, 0),
+            _ if self.view.doomed(id) => (Stance::Cancelled, 0, 0),
             _ => {
                 let counts = self.owner.as_ref().and_then(|owner| owner.counts(id));
                 let (done, running) =
@@ -230,6 +255,9 @@
             return self.reply(asked.reply_to, Answer::unavailable());
         };
         let message = match &asked.what {
+            UserRequest::Submit(id, spec) if !spec.dependencies.is_empty() => {
+                MeshMessage::SubmitDependent(id.clone(), spec.clone())
+            }
             UserRequest::Submit(id, spec) => MeshMessage::Submit(id.clone(), spec.clone()),
             UserRequest::Poll(id) => MeshMessage::Poll(id.clone()),
             UserRequest::Cancel(id) => MeshMessage::Cancel(id.clone()),
@@ -265,14 +293,8 @@
     }
 
     fn resume(&mut self, mut asked: Asked) {
-        let create =
-            matches!(&asked.what, UserRequest::Submit(id, _) if self.view.job(id).is_none());
-        if create {
-            asked.created = false;
-            self.create(asked);
-        } else {
-            self.settle(asked);
-        }
+        asked.created = false;
+        self.consider(asked);
     }
 
     pub(super) fn desk_timeouts(&mut self) {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -5,7 +5,7 @@
 use super::ranges::Ranges;
 use super::view::JobRecord;
 use crate::ids::{Attempt, MachineId, Version, Zone};
-use crate::wire::{JobSpec, Kind};
+use crate::wire::{JobSpec, Kind, Priority};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -30,8 +30,12 @@
     pub spec: Rc<JobSpec>,
     pub record: Rc<JobRecord>,
     pub version: Version,
-    /// When it was submitted, on this process's clock.
+    /// Its own, or the most urgent of those that need it.
+    pub priority: Priority,
+    /// When it could first run, on this process's clock: submitted, and all that it needs done.
     pub submitted: Time,
+    /// When it should be done for its own deadline, or for those that need it.
+    pub deadline: Option<Time>,
     tasks: Vec<Task>,
     waiting: BTreeSet<u32>,
     unsettled: u32,
@@ -66,6 +70,8 @@
         let waiting = (0..).zip(&tasks).filter(|(_, t)| open(t)).map(|(i, _)| i).collect();
         let unsettled = tasks.iter().filter(|t| **t == Task::Unsettled).count() as u32;
         Self {
+            priority: spec.priority,
+            deadline: None,
             spec,
             record,
             version,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 //! go in, [`Effect`]s come out. Same inputs, same times and same seed give the same effects.
 
 pub mod authority;
+pub mod dependencies;
 pub mod desk;
 pub mod gather;
 pub mod io;
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -42,6 +42,8 @@
     pub(super) config: Rc<Config>,
     pub(super) incarnation: u64,
     pub(super) jobs: BTreeMap<JobId, Job>,
+    /// Jobs that need a cancelled one, and when to write that down.
+    doomed: BTreeMap<JobId, Time>,
     /// Our machines, and others' as far as tasks of our teams may be on them.
     pub(super) machines: BTreeMap<MachineId, Machine>,
     pub(super) teams: BTreeMap<Team, OwnedTeam>,
@@ -104,6 +106,7 @@
             config: config.clone(),
             incarnation,
             jobs: BTreeMap::new(),
+            doomed: BTreeMap::new(),
             machines: BTreeMap::new(),
             teams: BTreeMap::new(),
             map_seen: None,
@@ -131,7 +134,7 @@
         for id in view.take_changed() {
             if let Some(stored) = view.job(&id) {
                 let (record, version) = (stored.record.clone(), stored.version);
-                self.take_job(&id, &record, version, (now, io.wall_ms));
+                self.take_job(view, &id, &record, version, (now, io.wall_ms));
             }
         }
         for machine in self.machines.values_mut() {
@@ -152,6 +155,7 @@
         self.expire_machines(view, now);
         self.settle_when_known(view);
         self.record_progress(io);
+        self.record_doomed(io, view);
         let report_s = self.config.deployment.workers.report_s;
         if self.changed || now > self.scheduled + report_s * 0.25 {
             self.changed = false;
@@ -258,7 +262,7 @@
         for (id, stored) in view.jobs() {
             // One of our own writes, newer than the view, waits for the next sync.
             if of_team(&stored.record) && stored.version <= view.revision() {
-                self.take_job(id, &stored.record, stored.version, (io.now, io.wall_ms));
+                self.take_job(view, id, &stored.record, stored.version, (io.now, io.wall_ms));
             }
         }
     }
@@ -270,10 +274,10 @@
         let mut sum = Room::default();
         let cancelled = |record: &&JobRecord| record.stance == Stance::Cancelled;
         for record in view.newest_finals().map(|job| &*job.record).filter(cancelled) {
-            let leaving = record.leaving.as_ref()?;
-            if leaving.cancelled_ms + recent < wall_ms {
+            if record.ended_ms.is_some_and(|at| at + recent < wall_ms) {
                 break;
             }
+            let leaving = record.leaving.as_ref()?;
             if leaving.team == *team {
                 sum = sum.plus(&leaving.need.times(leaving.tasks));
             }
@@ -341,6 +345,7 @@
     /// A job's record is new or has changed.
     fn take_job(
         &mut self,
+        view: &View,
         id: &JobId,
         record: &Rc<JobRecord>,
         version: Version,
@@ -352,17 +357,24 @@
         if let Some(job) = self.jobs.get_mut(id) {
             job.version = version;
             job.record = record.clone();
-            return;
+            return self.make_urgent(view, id, (now, wall_ms));
         }
         let Some(spec) = &record.spec else { return };
         let Some(team) = self.teams.get(&spec.team) else { return };
+        if view.doomed(id) {
+            self.doomed.entry(id.clone()).or_insert(now);
+            return;
+        }
+        // Until all that it needs is done, durably and as read here, it is no work of this share. Its
+        // view takes it up again with the last of them.
+        let Some(ready_ms) = view.ready_ms(record) else { return };
         // The team's former owner may have started everything that it could read before it saw the
         // change of the map. A leader that takes the team for itself knows its own write before
         // its next sync brings the jobs that came before that; so it is the versions that tell, not
         // when a job appeared here. Progress is recorded only of what has run.
         let unheard_of = version > team.gained && record.done.is_empty();
         let settled = team.unsettled.is_empty() || unheard_of;
-        let age = wall_ms.saturating_sub(record.accepted_ms) as f64 / 1e3;
+        let age = wall_ms.saturating_sub(ready_ms) as f64 / 1e3;
         let mut job = Job::new(spec.clone(), record.clone(), version, now - age, settled);
         if job.is_gang() && !job.done.is_empty() {
             (0..spec.tasks).for_each(|index| job.set(index, Task::Done, None));
@@ -387,12 +399,61 @@
         }
         self.forecast.arrived(spec, job.submitted);
         self.jobs.insert(id.clone(), job);
+        self.make_urgent(view, id, (now, wall_ms));
         self.changed = true;
         for (machine, task, attempt, why) in exits {
             self.task_exited(&machine, &task, attempt, why, now);
         }
     }
 
+    /// A job takes the priority and the deadline of those that need it.
+    fn make_urgent(&mut self, view: &View, id: &JobId, (now, wall_ms): (Time, u64)) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let on_clock = |ms: u64| now + (ms as f64 - wall_ms as f64) / 1e3;
+        let finish = self.config.finish_objective(&job.spec.class);
+        let own = job.spec.deadline_s.filter(|_| finish.is_none());
+        let own = own.map(|due| on_clock(job.record.accepted_ms) + due);
+        let inherited = view.inherited(id);
+        let theirs = inherited.and_then(|urgency| urgency.due_ms).map(on_clock);
+        job.deadline = [own, theirs].into_iter().flatten().min_by(Time::total_cmp);
+        let Some(urgency) = inherited.filter(|urgency| urgency.priority > job.priority) else {
+            return;
+        };
+        job.priority = urgency.priority;
+        self.changed = true;
+        for ((task, _), held) in self.machines.values_mut().flat_map(|m| &mut m.on) {
+            if task.job == *id {
+                held.priority = held.priority.max(urgency.priority);
+            }
+        }
+    }
+
+    /// Writes down that jobs are cancelled with one that they need. Everybody derives it anyway, so
+    /// it comes after all other writes.
+    fn record_doomed(&mut self, io: &mut Io, view: &View) {
+        let now = io.now;
+        let pause = self.config.deployment.workers.report_s;
+        let ours = |record: &JobRecord| {
+            let team = record.spec.as_ref().map(|spec| &spec.team);
+            !record.is_final() && team.is_some_and(|team| self.teams.contains_key(team))
+        };
+        self.doomed.retain(|id, _| view.job(id).is_some_and(|job| ours(&job.record)));
+        for (id, not_before) in &mut self.doomed {
+            let Some(job) = view.job(id).filter(|_| now >= *not_before) else { continue };
+            if !self.writes.take(now) {
+                return;
+            }
+            *not_before = now + io.jitter(pause);
+            let write = put(&job_key(id), &job.record.cancelled(io.wall_ms), None);
+            let transaction = Transaction {
+                guards: vec![guard(&job_key(id), job.version)],
+                writes: vec![write.clone()],
+            };
+            let pending = Pending::Job(JobWrite { job: id.clone(), write });
+            io.state(pending, StateCall::Commit(transaction));
+        }
+    }
+
     /// Done or cancelled, and recorded so: its tasks go, and their exits may be forgotten.
     fn job_over(&mut self, id: &JobId, record: &JobRecord) {
         self.changed |= self.jobs.remove(id).is_some();
@@ -472,7 +533,7 @@
             }
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let record = if job.all_done() {
-                job.record.done()
+                job.record.done(io.wall_ms)
             } else {
                 let mut done = job.done.clone();
                 done.keep_largest(ranges);
@@ -515,7 +576,7 @@
                         held.forget |= task.job == id && done && record.done.contains(task.index);
                     }
                 }
-                self.take_job(&id, &record, version, (now, io.wall_ms));
+                self.take_job(view, &id, &record, version, (now, io.wall_ms));
             }
             other => {
                 // Cancelled meanwhile, or outcome unknown: the view tells before the next try.
@@ -628,6 +689,7 @@
             tasks: 2,
             done: ranges,
             spec,
+            ended_ms: None,
             leaving: None,
         }
     }
@@ -696,7 +758,7 @@
         for (id, image) in [("req-000001", "a"), ("req-000002", "b")] {
             let mut record = record(false);
             Rc::make_mut(record.spec.as_mut().unwrap()).image = image.into();
-            share.take_job(&id.into(), &Rc::new(record), 9, (0.0, 0));
+            share.take_job(&view, &id.into(), &Rc::new(record), 9, (0.0, 0));
         }
         let started = |share: &Owner| share.machines[&MachineId::from("m-1")].on.len();
         share.schedule(&Catalog::default(), 0.1);
@@ -832,7 +894,7 @@
         for (id, version, done) in
             [(&ids[0], 100, false), (&ids[1], 107, true), (&ids[2], 108, false)]
         {
-            share.take_job(id, &Rc::new(record(done)), version, (1.0, 0));
+            share.take_job(&view, id, &Rc::new(record(done)), version, (1.0, 0));
         }
         let unsettled = ids.map(|id| share.jobs[&id].unsettled());
         assert_eq!(unsettled, [2, 1, 0], "before the gain; begun before it was seen; after it");
--- a/src/core/part_map.rs
+++ b/src/core/part_map.rs
@@ -99,19 +99,25 @@
         let owners = Owners::read(stored.values().map(|chunk| &chunk.record));
         // Every machine may have an owner's record to itself: up to 150 bytes.
         let capacity = ((kb * 1024.0 / 150.0) as usize).max(1);
-        let (mut chunk_of, mut members) = (BTreeMap::new(), Vec::new());
+        let (mut chunk_of, mut members): (BTreeMap<MachineId, usize>, Vec<BTreeSet<MachineId>>) =
+            Default::default();
+        let mut dirty = BTreeSet::new();
         for (key, chunk) in stored {
             let prefix = format!("{MAP_PREFIX}m");
             let number = key.strip_prefix(&prefix).and_then(|n| n.parse::<usize>().ok());
             if let Some(number) = number {
                 members.resize_with(members.len().max(number + 1), BTreeSet::new);
                 for id in chunk.record.shares.iter().flat_map(|share| &share.machines) {
-                    chunk_of.insert(id.clone(), number);
+                    // Split off by an earlier leader that could not write the rest.
+                    if let Some(split) = chunk_of.insert(id.clone(), number) {
+                        members[split].remove(id);
+                        dirty.insert(split);
+                    }
                     members[number].insert(id.clone());
                 }
             }
         }
-        let (teams_dirty, dirty) = (false, BTreeSet::new());
+        let teams_dirty = false;
         Self { owners, leader, changes: 0, chunk_of, members, teams_dirty, dirty, capacity }
     }
 
@@ -171,18 +177,37 @@
             && size < bytes
             && let Some(chunk) = self.dirty.pop_first()
         {
-            let mut shares: BTreeMap<&Owner, Share> = BTreeMap::new();
-            for id in &self.members[chunk] {
-                if let Some(owner) = self.owners.machines.get(id) {
-                    share(&mut shares, owner).machines.push(id.clone());
+            // Written when values could be larger: what is too much goes into values of its own, first,
+            // so that no machine is ever off the map.
+            if self.members[chunk].len() > self.capacity {
+                self.dirty.insert(chunk);
+                let rest = self.members[chunk].iter().skip(self.capacity);
+                let piece: BTreeSet<MachineId> = rest.take(self.capacity).cloned().collect();
+                let fresh = self.members.len();
+                for id in &piece {
+                    self.members[chunk].remove(id);
+                    self.chunk_of.insert(id.clone(), fresh);
                 }
+                values.push(self.value(fresh, &piece));
+                self.members.push(piece);
+                continue;
             }
-            let value = MapChunk { shares: shares.into_values().collect() };
-            size += serde_json::to_string(&value).map_or(0, |text| text.len());
-            values.push((chunk_key(chunk), value));
+            let value = self.value(chunk, &self.members[chunk]);
+            size += serde_json::to_string(&value.1).map_or(0, |text| text.len());
+            values.push(value);
         }
         values
     }
+
+    fn value(&self, chunk: usize, members: &BTreeSet<MachineId>) -> (String, MapChunk) {
+        let mut shares: BTreeMap<&Owner, Share> = BTreeMap::new();
+        for id in members {
+            if let Some(owner) = self.owners.machines.get(id) {
+                share(&mut shares, owner).machines.push(id.clone());
+            }
+        }
+        (chunk_key(chunk), MapChunk { shares: shares.into_values().collect() })
+    }
 }
 
 fn share<'a, 'b>(shares: &'b mut BTreeMap<&'a Owner, Share>, owner: &'a Owner) -> &'b mut Share {
@@ -221,6 +246,24 @@
         assert_eq!(next.owners.teams, map.owners.teams);
         let highest = map.owners.machines.values().map(|o| o.term).max().unwrap();
         assert!(next.next_term().unwrap() > highest, "terms rise with every leader");
+        // Limits were lowered: what is stored larger is split when it is next written, and until all is
+        // written every machine stays on the map.
+        let mut lower = PartMap::new(1 << 22, &stored, 2.0);
+        lower.set_machine(&"m-000003".into(), owner("drumhead-0", 9));
+        let mut lowered = stored.clone();
+        loop {
+            let values = lower.take_dirty(2, usize::MAX);
+            if values.is_empty() {
+                break;
+            }
+            for (key, record) in values {
+                assert!(serde_json::to_string(&record).unwrap().len() <= 2048);
+                lowered.insert(key, Versioned { version: 10, record });
+            }
+            let read = PartMap::new(1 << 23, &lowered, 2.0);
+            assert_eq!(read.owners.machines.len(), 200);
+            assert_eq!(read.chunk_of.len(), read.members.iter().map(BTreeSet::len).sum::<usize>());
+        }
         next.remove_machine(&"m-000000".into());
         assert_eq!(next.take_dirty(9, usize::MAX).len(), 1, "only the chunk that changed");
     }
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -19,6 +19,8 @@
 pub enum MeshMessage {
     Hello(Box<Hello>),
     Submit(JobId, Box<JobSpec>),
+    /// A version that doesn't know of dependencies can't read it, and so never accepts it without.
+    SubmitDependent(JobId, Box<JobSpec>),
     Poll(JobId),
     Cancel(JobId),
     /// This job was cancelled; saves the leader the wait for its next sync.
@@ -220,7 +222,7 @@
     pub(super) fn mesh_message(&mut self, request: RequestId, message: MeshMessage) {
         match message {
             MeshMessage::Hello(hello) => self.hello(request, *hello),
-            MeshMessage::Submit(id, spec) => {
+            MeshMessage::Submit(id, spec) | MeshMessage::SubmitDependent(id, spec) => {
                 self.relayed_request(request, UserRequest::Submit(id, spec));
             }
             MeshMessage::Poll(id) => self.relayed_request(request, UserRequest::Poll(id)),
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -64,7 +64,7 @@
         if held.exited() || held.stop.is_some() || task.job == *id {
             return false;
         }
-        held.priority < job.spec.priority
+        held.priority < job.priority
             || (held.team.as_ref().is_some_and(|team| beyond.contains(&team))
                 && share.jobs.get(&task.job).is_some_and(|o| o.spec.kind != Kind::Service))
     };
@@ -81,8 +81,7 @@
                 continue;
             }
             // Most machines have nothing to give, which is seen without looking at their tasks.
-            let below =
-                if beyond.is_empty() { job.spec.priority as usize } else { Priority::COUNT };
+            let below = if beyond.is_empty() { job.priority as usize } else { Priority::COUNT };
             let at_most = slot.running[..below].iter().fold(slot.later, |a, room| a.plus(room));
             if !at_most.holds(&need) {
                 continue;
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -68,11 +68,13 @@
 fn due_with(config: &Config, job: &Job, margin: f64) -> Time {
     let spec = &job.spec;
     let wait = config.wait_objective(&spec.class);
-    let finish = config.finish_objective(&spec.class).or(spec.deadline_s);
-    let finish = finish.map(|within| within - spec.estimate_s * margin);
-    let within = [wait, finish].into_iter().flatten().min_by(Time::total_cmp);
+    let finish = config.finish_objective(&spec.class).map(|within| job.submitted + within);
+    let finish = [finish, job.deadline].into_iter().flatten().min_by(Time::total_cmp);
+    let finish = finish.map(|at| at - spec.estimate_s * margin);
+    let wait = wait.map(|within| job.submitted + within);
+    let due = [wait, finish].into_iter().flatten().min_by(Time::total_cmp);
     // Without an objective, work is due one cancellation time after it came.
-    job.submitted + within.unwrap_or(config.deployment.workers.cancel_s)
+    due.unwrap_or(job.submitted + config.deployment.workers.cancel_s)
 }
 
 pub fn limits<'a>(config: &'a Config, spec: &JobSpec) -> Option<&'a TeamLimits> {
@@ -111,7 +113,7 @@
             let guaranteed = limits(&self.config, &job.spec)
                 .is_some_and(|limits| usage.guaranteed(limits, need.cpus, need.gpus));
             let rank = Rank {
-                priority: std::cmp::Reverse(job.spec.priority),
+                priority: std::cmp::Reverse(job.priority),
                 beyond_guarantee: !guaranteed,
                 due: due(&self.config, job).max(now),
             };
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -404,6 +404,7 @@
         };
         let mut held = Held::new(now);
         describe(&mut held, &job.spec);
+        held.priority = job.priority;
         job.set(index, Task::Placed(machine.id.clone(), attempt), Some(&machine.zone));
         let task = TaskId { job: id.clone(), index };
         let (waited, spec) = (now - job.submitted, &job.spec);
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -3,6 +3,7 @@
 //! linearizable: an answer given after a sync that was sent after the question is up to date,
 //! and one sync serves every question that waits.
 
+use super::dependencies::{Dependencies, Urgency};
 use super::io::Pending;
 use super::part_map::{MapChunk, Owners};
 use super::placement::Room;
@@ -33,32 +34,69 @@
     format!("{JOB_PREFIX}{job}")
 }
 
-/// A job as stored.
+/// A job as known.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredJob", into = "StoredJob")]
 pub struct JobRecord {
-    #[serde(rename = "s")]
     pub stance: Stance,
     /// When it was accepted, by the accepting controller's time of day.
-    #[serde(rename = "at")]
     pub accepted_ms: u64,
-    #[serde(rename = "n")]
     pub tasks: u32,
-    #[serde(rename = "d", default, skip_serializing_if = "Ranges::is_empty")]
     pub done: Ranges,
     /// Final states do without, so that keeping them for ever costs little.
-    #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
     pub spec: Option<Rc<JobSpec>>,
-    /// When it was cancelled, by the time of day of who did so, and what its tasks take until they
-    /// have gone: they count towards their team's limit.
-    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    /// When it was done or cancelled, by the time of day of who wrote so.
+    pub ended_ms: Option<u64>,
+    /// Of a cancelled job: what its tasks take until they have gone, for so long they count towards
+    /// their team's limit.
     pub leaving: Option<Leaving>,
 }
 
+/// A job as stored.
+#[derive(Clone, Serialize, Deserialize)]
+struct StoredJob {
+    #[serde(rename = "s")]
+    stance: Stance,
+    #[serde(rename = "at")]
+    accepted_ms: u64,
+    #[serde(rename = "n")]
+    tasks: u32,
+    #[serde(rename = "d", default, skip_serializing_if = "Ranges::is_empty")]
+    done: Ranges,
+    #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
+    spec: Option<Rc<JobSpec>>,
+    /// In place of `j` if it has dependencies. To a version that doesn't know them the job is one
+    /// without a description: it answers for it and cancels it, but never starts or rewrites it.
+    #[serde(rename = "jd", default, skip_serializing_if = "Option::is_none")]
+    dependent: Option<Rc<JobSpec>>,
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    ended_ms: Option<u64>,
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    leaving: Option<Leaving>,
+}
+
+impl From<StoredJob> for JobRecord {
+    fn from(stored: StoredJob) -> Self {
+        let StoredJob { stance, accepted_ms, tasks, done, ended_ms, leaving, .. } = stored;
+        let spec = stored.spec.or(stored.dependent);
+        Self { stance, accepted_ms, tasks, done, spec, ended_ms, leaving }
+    }
+}
+
+impl From<JobRecord> for StoredJob {
+    fn from(record: JobRecord) -> Self {
+        let JobRecord { stance, accepted_ms, tasks, done, spec, ended_ms, leaving } = record;
+        let (dependent, spec) = match spec {
+            Some(spec) if !spec.dependencies.is_empty() => (Some(spec), None),
+            spec => (None, spec),
+        };
+        Self { stance, accepted_ms, tasks, done, spec, dependent, ended_ms, leaving }
+    }
+}
+
 /// What may be left of a cancelled job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Leaving {
-    #[serde(rename = "at")]
-    pub cancelled_ms: u64,
     #[serde(rename = "t")]
     pub team: Team,
     #[serde(rename = "n")]
@@ -72,19 +110,18 @@
         matches!(self.stance, Stance::Done | Stance::Cancelled)
     }
 
-    pub fn done(&self) -> Self {
-        let done = Ranges::default();
-        Self { stance: Stance::Done, done, spec: None, ..self.clone() }
+    pub fn done(&self, wall_ms: u64) -> Self {
+        let (done, ended_ms) = (Ranges::default(), Some(wall_ms));
+        Self { stance: Stance::Done, done, spec: None, ended_ms, ..self.clone() }
     }
 
     pub fn cancelled(&self, wall_ms: u64) -> Self {
         let leaving = self.spec.as_ref().map(|spec| Leaving {
-            cancelled_ms: wall_ms,
             team: spec.team.clone(),
             tasks: self.tasks.saturating_sub(self.done.len()),
             need: Room::of(spec),
         });
-        Self { stance: Stance::Cancelled, leaving, ..self.done() }
+        Self { stance: Stance::Cancelled, leaving, ..self.done(wall_ms) }
     }
 }
 
@@ -126,6 +163,7 @@
     map_changes: u64,
     /// Jobs whose records changed since the leader last looked.
     changed: BTreeSet<JobId>,
+    dependencies: Dependencies,
     /// Jobs by the version of their final state.
     finals: BTreeSet<(Version, JobId)>,
     /// Every final state up to here is known: from our own syncs, or a sibling told.
@@ -168,6 +206,7 @@
             owners: Owners::default(),
             map_changes: 0,
             changed: BTreeSet::new(),
+            dependencies: Dependencies::default(),
             finals: BTreeSet::new(),
             finals_known: 0,
             revision: 0,
@@ -324,10 +363,35 @@
         if record.is_final() {
             self.finals.insert((version, id.clone()));
         }
+        let jobs = &self.jobs;
+        let job = |id: &JobId| jobs.get(id).map(|job| &*job.record);
+        self.dependencies.take(&id, job(&id), &record, job, &mut self.changed);
         self.changed.insert(id.clone());
         self.jobs.insert(id, Versioned { version, record: Rc::new(record) });
     }
 
+    /// Whether a job that is not over needs one that is cancelled: it is as cancelled as that.
+    pub fn doomed(&self, id: &JobId) -> bool {
+        self.dependencies.doomed(id)
+    }
+
+    /// What those that need a job ask of it.
+    pub fn inherited(&self, id: &JobId) -> Option<&Urgency> {
+        self.dependencies.inherited(id)
+    }
+
+    /// When the last of a job's dependencies was done, by the time of day: None while one is not.
+    pub fn ready_ms(&self, record: &JobRecord) -> Option<u64> {
+        let needed = record.spec.iter().flat_map(|spec| &spec.dependencies);
+        let mut latest = record.accepted_ms;
+        for needed in needed {
+            let needed = &self.jobs.get(needed).filter(|n| n.record.stance == Stance::Done)?.record;
+            // An older version did not record the time.
+            latest = latest.max(needed.ended_ms.unwrap_or(needed.accepted_ms));
+        }
+        Some(latest)
+    }
+
     /// Up to where this view knows every final state.
     pub fn finals_known(&self) -> Version {
         self.finals_known.max(self.revision)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::{Attempt, Image, JobId, MachineId, Node, Team, Term, TypeName, Version, Zone};
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::{Map, Value, json};
 
 /// The published limit on request bodies.
@@ -98,15 +98,37 @@
     pub save_s: f64,
     #[serde(rename = "dl", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts.
+    #[serde(
+        rename = "aw",
+        default,
+        skip_serializing_if = "Vec::is_empty",
+        serialize_with = "to_numbers",
+        deserialize_with = "from_numbers"
+    )]
+    pub dependencies: Vec<JobId>,
 }
 
+/// The ids without what all have in common, so that hundreds fit into a value.
+fn to_numbers<S: Serializer>(ids: &[JobId], serializer: S) -> Result<S::Ok, S::Error> {
+    let numbers = ids.iter().map(|id| id.as_str().strip_prefix(JOB_ID).unwrap_or(id.as_str()));
+    serializer.serialize_str(&numbers.collect::<Vec<_>>().join(" "))
+}
+
+fn from_numbers<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<JobId>, D::Error> {
+    let numbers = String::deserialize(deserializer)?;
+    Ok(numbers.split_whitespace().map(|number| JobId::from(format!("{JOB_ID}{number}"))).collect())
+}
+
+const JOB_ID: &str = "req-";
+
 fn is_false(value: &bool) -> bool {
     !value
 }
 
 /// The form of a job id: `req-` and at least six digits.
 pub fn valid_job_id(text: &str) -> bool {
-    text.strip_prefix("req-").is_some_and(|digits| {
+    text.strip_prefix(JOB_ID).is_some_and(|digits| {
         (6..=20).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit())
     })
 }
@@ -143,6 +165,17 @@
         None => None,
         Some(_) => Some(fields.amount("dueS")?),
     };
+    let mut dependencies = match fields.optional("awaits") {
+        None => Vec::new(),
+        Some(Value::Array(list)) => list
+            .iter()
+            .map(|id| id.as_str().filter(|id| valid_job_id(id)).map(JobId::from))
+            .collect::<Option<Vec<_>>>()
+            .ok_or(WireError::Field("awaits"))?,
+        Some(_) => return Err(WireError::Field("awaits")),
+    };
+    dependencies.sort();
+    dependencies.dedup();
     let spec = JobSpec {
         class: fields.text("herd")?.to_owned(),
         team: fields.text("crew")?.into(),
@@ -163,6 +196,7 @@
         checkpoint_s: fields.amount("markEveryS")?,
         save_s: fields.amount("markS")?,
         deadline_s,
+        dependencies,
     };
     Ok((id.into(), spec))
 }
@@ -563,10 +597,18 @@
             ("breeds", json!("g8")),
             ("herd", json!(null)),
             ("dueS", json!(-5)),
+            ("awaits", json!("req-000398")),
+            ("awaits", json!(["req-000398", 4])),
+            ("awaits", json!(["r-1"])),
         ] {
             assert!(with(name, value.clone()).is_err(), "{name}={value}");
         }
         assert!(with("beats", json!(100_000)).is_ok());
+        let (_, spec) = with("awaits", json!(["req-0000405", "req-000398", "req-000398"])).unwrap();
+        assert_eq!(spec.dependencies, ["req-0000405", "req-000398"].map(JobId::from));
+        let stored = serde_json::to_value(&spec).unwrap();
+        assert_eq!(serde_json::from_value::<JobSpec>(stored).unwrap(), spec);
+        assert!(with("awaits", json!(null)).unwrap().1.dependencies.is_empty());
         assert_eq!(parse_submission(&[0xc1]), Err(WireError::NotMessagePack));
         assert_eq!(parse_submission(b"\x93\x01\x02\x03"), Err(WireError::NotMap));
         // Not-a-number is a MessagePack float that no amount may be.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -33,6 +33,7 @@
         checkpoint_s: if kind == Kind::Service { 0.0 } else { 5.0 },
         save_s: if kind == Kind::Service { 0.0 } else { 2.0 },
         deadline_s: None,
+        dependencies: Vec::new(),
     }
 }
 
@@ -59,7 +60,7 @@
     }
 }
 
-/// `job array|gang|service TASKS [run=S] [gpus=N] [team=blue] [spot] [spread] [onezone] …`
+/// `job array|gang|service TASKS [run=S] [gpus=N] [team=blue] [after=1,2] [spot] [spread] …`
 fn job(words: &[&str]) -> (JobSpec, f64) {
     let kind = match words[0] {
         "array" => Kind::Array,
@@ -75,11 +76,18 @@
             Some(("gpus", n)) => job.gpus = number(Some(&n)),
             Some(("image", name)) => job.image = name.into(),
             Some(("team", name)) => job.team = name.into(),
+            Some(("due", s)) => job.deadline_s = Some(number(Some(&s))),
+            // Jobs are named in the order of the scenario's lines.
+            Some(("after", list)) => {
+                let ids = list.split(',').map(|n| number(Some(&n)));
+                job.dependencies = ids.map(|n| format!("req-{n:06}").into()).collect();
+            }
             Some(("zone", name)) => job.zone = Some(name.into()),
             None if *word == "spot" => job.spot = true,
             None if *word == "spread" => job.spread = true,
             None if *word == "onezone" => job.one_zone = true,
             None if *word == "low" => job.priority = Priority::Low,
+            None if *word == "high" => job.priority = Priority::High,
             _ => panic!("job option {word:?}?"),
         }
     }
@@ -493,6 +501,16 @@
             day += &format!("at {begins} {fault}\n");
         }
         day += &format!("at {at} close_looks 20\nat {at} cancel_at_end 20\n");
+        if rng.random_bool(0.4) {
+            // One controller is refused, others confirm cancellations, then the service is out for all.
+            let who = ["leader", "n0", "n1"][rng.random_range(0..3)];
+            let out = at + f64::from(rng.random_range(10..30)) / 10.0;
+            day +=
+                &format!("at {at} refuse {who} 14\nat {out} outage {}\n", rng.random_range(32..50));
+            for _ in 0..3 {
+                day += &format!("at {} cancel {}\n", at + 0.6, rng.random_range(1..=jobs));
+            }
+        }
     }
     day + "until 360\n"
 }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -497,6 +497,9 @@
         if misplaced {
             self.breaks("wrong_place", format!("{task} on {id} in {zone}, job in {zones:?}"));
         }
+        if let Some(needed) = self.users.not_ready(&task.job) {
+            self.breaks("too_early", format!("{task} starts on {id}, {needed} is not done"));
+        }
         if self.users.cancelled_for_long(&task.job, self.now) {
             self.breaks("ran_cancelled", format!("{task} starts on {id}"));
         }
