--- /dev/null
+++ b/src/core/owner/tests.rs
@@ -0,0 +1,228 @@
+use super::super::part_map::{MapChunk, Owner as MapOwner, Share};
+use super::super::quiet::Silence;
+use super::super::view::MAP_PREFIX;
+use super::*;
+use rand::SeedableRng;
+
+fn record(done: bool) -> JobRecord {
+    let spec = serde_json::json!({"c": "chat", "t": "red", "k": "standing", "p": "critical",
+        "n": 2, "cpu": 1.0, "gpu": 1.0, "mem": 1.0, "img": "i", "igb": 1.0, "est": 0.0,
+        "ck": 0.0, "sv": 0.0});
+    let mut ranges = super::super::ranges::Ranges::default();
+    if done {
+        ranges.insert(1);
+    }
+    let spec = Some(Rc::new(serde_json::from_value(spec).unwrap()));
+    JobRecord {
+        stance: Stance::Pending,
+        accepted_ms: 0,
+        tasks: 2,
+        done: ranges,
+        spec,
+        ended_ms: None,
+        leaving: None,
+    }
+}
+
+fn share() -> (Owner, Io, View) {
+    let config = Rc::new(Config::parse(crate::config::TEST_SETTINGS).unwrap());
+    let io = Io::new(rand::rngs::StdRng::seed_from_u64(1));
+    (Owner::new(&config, 1, Hints::new(), 0.0), io, View::new(&config))
+}
+
+fn map(view: &mut View, version: Version, shares: Vec<Share>) {
+    view.apply_write(&put(&format!("{MAP_PREFIX}m0000"), &MapChunk { shares }, None), version);
+}
+
+fn owner(node: &str) -> MapOwner {
+    MapOwner { node: node.into(), incarnation: 1, term: Term(9), former: None, prior: None }
+}
+
+/// Its owner may have changed without this process having read so; then somebody else answers
+/// it, and its tasks live on (hunted days of a starved controller).
+#[test]
+fn a_silent_machine_is_empty_only_by_a_map_read_after_its_lease() {
+    let (mut share, mut io, mut view) = share();
+    let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
+    map(&mut view, 5, vec![mine]);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    view.current_as_of = 9.0;
+    share.expire_machines(&view, 60.0);
+    assert!(!share.machines[&MachineId::from("m-1")].empty);
+    view.current_as_of = 59.0;
+    share.expire_machines(&view, 60.0);
+    assert!(share.machines[&MachineId::from("m-1")].empty);
+}
+
+/// Who has a silent machine next counts its lease from the last answer that its former owner
+/// told of, if the map says that nobody else had it in between.
+#[test]
+fn the_lease_of_a_silent_machine_is_counted_on_through_a_hand_over() {
+    let (mut share, mut io, mut view) = share();
+    let mut quiet = Quiet::default();
+    let said = |id: &str| Silence { machine: id.into(), term: Term(8), age: 6.0 };
+    quiet.note([said("m-1"), said("m-2")], 20.0);
+    let known = MapOwner { prior: Some(Term(8)), ..owner("n0") };
+    let chain = Share { owner: known, teams: vec![], machines: vec!["m-1".into()] };
+    let other = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-2".into()] };
+    map(&mut view, 5, vec![chain, other]);
+    io.begin(21.0, 0);
+    share.follow_map(&mut io, &view, &quiet);
+    let answered = |share: &Owner, id: &str| share.machines[&MachineId::from(id)].answered;
+    assert!((14.0..14.1).contains(&answered(&share, "m-1")));
+    assert_eq!(answered(&share, "m-2"), 21.0);
+}
+
+/// In the first seconds of a share one machine got the replicas of four images, which shared
+/// its fetch rate, while hundreds were about to report.
+#[test]
+fn what_would_queue_for_a_fetch_waits_for_machines_about_to_report() {
+    let (mut share, mut io, mut view) = share();
+    let machines = vec!["m-1".into(), "m-2".into()];
+    map(&mut view, 5, vec![Share { owner: owner("n0"), teams: vec!["red".into()], machines }]);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    let first = share.machines.get_mut(&MachineId::from("m-1")).unwrap();
+    first.trusted = true;
+    first.total = Room { cpus: 32.0, gpus: 8.0, memory_gb: 100.0 };
+    first.fetch_rate = 1.0;
+    for (id, image) in [("req-000001", "a"), ("req-000002", "b")] {
+        let mut record = record(false);
+        Rc::make_mut(record.spec.as_mut().unwrap()).image = image.into();
+        share.take_job(&view, &id.into(), &Rc::new(record), 9, (0.0, 0));
+    }
+    let started = |share: &Owner| share.machines[&MachineId::from("m-1")].on.len();
+    share.schedule(&Catalog::default(), 0.1);
+    assert_eq!(started(&share), 2, "both replicas of one image, none of the other");
+    share.schedule(&Catalog::default(), 60.0);
+    assert_eq!(started(&share), 4, "not for ever");
+}
+
+/// What was said of its last answer has to stay true until it has a fresh token.
+#[test]
+fn a_machine_said_to_be_silent_is_not_answered_under_that_term() {
+    let (mut share, mut io, mut view) = share();
+    let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
+    map(&mut view, 5, vec![mine]);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    let report = |seq| crate::wire::Report {
+        machine: "m-1".into(),
+        address: "a".into(),
+        type_name: "g".into(),
+        zone: "z".into(),
+        spot: false,
+        session: 1,
+        seq,
+        token: Term(9),
+        notice_s: None,
+        tasks: Vec::new(),
+    };
+    let checkin = |share: &mut Owner, io: &mut Io, now, seq| {
+        io.begin(now, 0);
+        let answer = share.checkin(io, &view, &Catalog::default(), report(seq));
+        answer.unwrap().status
+    };
+    assert_eq!(checkin(&mut share, &mut io, 1.0, 1), 200);
+    let lease = share.config.deployment.workers.lease_s;
+    let mut current = View::new(&share.config);
+    current.current_as_of = 1.0 + lease * 0.6;
+    share.declare_quiet(&current, 1.0 + lease * 0.6);
+    assert!(share.silences(lease).is_empty(), "hearing nobody says nothing of one");
+    share.heard = 1.0 + lease * 0.6;
+    share.declare_quiet(&current, 1.0 + lease * 0.6);
+    assert_eq!(share.silences(lease).len(), 1);
+    assert_eq!(checkin(&mut share, &mut io, 1.0 + lease * 0.7, 2), 503);
+    assert_eq!(share.need.raise, [("m-1".into(), Term(9))]);
+    // With a fresh token it is heard again, and has the time to be.
+    let fresh = MapOwner { term: Term(10), ..owner("n0") };
+    let mine = Share { owner: fresh, teams: vec![], machines: vec!["m-1".into()] };
+    map(&mut view, 6, vec![mine]);
+    io.begin(1.0 + lease * 0.8, 0);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    share.declare_quiet(&current, 1.0 + lease * 0.8);
+    let machine = &share.machines[&MachineId::from("m-1")];
+    assert!(!machine.quiet && machine.token == Term(10));
+}
+
+/// A leader owns a machine by its own write, before it has read the jobs that came before.
+#[test]
+fn a_machine_with_unknown_tasks_is_not_told_as_settled() {
+    let (mut share, mut io, mut view) = share();
+    let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
+    let other = Share { owner: owner("n1"), teams: vec!["red".into()], machines: vec![] };
+    map(&mut view, 5, vec![mine, other]);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    share.listeners.insert("n1".into());
+    let id = MachineId::from("m-1");
+    share.machines.get_mut(&id).unwrap().trusted = true;
+    let task = TaskId { job: "req-000001".into(), index: 0 };
+    let shown = crate::wire::ReportedTask {
+        task: task.to_string(),
+        attempt: Attempt(1),
+        state: crate::wire::TaskState::Running,
+        why: None,
+        saved: None,
+    };
+    share.take_task(&mut io, &view, &id, task.clone(), &shown);
+    let news = |share: &Owner, view: &View| {
+        let news = share.news_for(&"n1".into(), view, None, Hints::new());
+        (news.settled.len(), news.facts.len())
+    };
+    assert_eq!(news(&share, &view), (0, 0));
+    view.apply_write(&put(&job_key(&task.job), &record(false), None), 4);
+    share.take_task(&mut io, &view, &id, task, &shown);
+    assert_eq!(news(&share, &view), (1, 1));
+}
+
+/// A sibling that has read of the team's next owner before this one did leaves it out.
+#[test]
+fn silence_about_a_team_that_the_sender_gives_to_another_says_nothing() {
+    let (mut share, mut io, mut view) = share();
+    let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
+    let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
+    map(&mut view, 5, vec![mine, other]);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    let id = MachineId::from("m-1");
+    let mut machine = Machine::named(id.clone(), Term(9), 0.0);
+    let mut held = Held::new(0.0);
+    held.team = Some("red".into());
+    let task = TaskId { job: "req-000001".into(), index: 0 };
+    machine.on.insert((task, Attempt(1)), held);
+    share.machines.insert(id.clone(), machine);
+    let news = |teams: &[&str]| super::super::news::News {
+        revision: 7,
+        teams: teams.iter().map(|team| Team::from(*team)).collect(),
+        listening: false,
+        settled: vec![(id.clone(), Term(9))],
+        facts: vec![],
+        wishes: vec![],
+        need: Need::default(),
+        refused: None,
+        images: Hints::new(),
+    };
+    share.take_news(&mut io, &view, &"n1".into(), 1, news(&[]));
+    assert!(
+        share.machines.contains_key(&id) && !share.teams[&Team::from("red")].unsettled.is_empty()
+    );
+    share.take_news(&mut io, &view, &"n1".into(), 1, news(&["red"]));
+    assert!(
+        !share.machines.contains_key(&id) && share.teams[&Team::from("red")].unsettled.is_empty()
+    );
+}
+
+/// A leader that gives itself a team has written the map before it has read the jobs that the
+/// team's former owner read, and perhaps started, before that.
+#[test]
+fn only_jobs_from_after_the_gain_are_known_to_run_nowhere() {
+    let (mut share, mut io, mut view) = share();
+    let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
+    let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
+    map(&mut view, 105, vec![mine, other]);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    let ids = ["req-000001", "req-000002", "req-000003"].map(JobId::from);
+    for (id, version, done) in [(&ids[0], 100, false), (&ids[1], 107, true), (&ids[2], 108, false)]
+    {
+        share.take_job(&view, id, &Rc::new(record(done)), version, (1.0, 0));
+    }
+    let unsettled = ids.map(|id| share.jobs[&id].unsettled());
+    assert_eq!(unsettled, [2, 1, 0], "before the gain; begun before it was seen; after it");
+}
--- /dev/null
+++ b/src/core/placement/tests.rs
@@ -0,0 +1,36 @@
+use super::*;
+
+fn candidate(gpus: f64, cpus: f64, ready_in: Time) -> Candidate {
+    let total = Room { cpus: 32.0, gpus: 8.0, memory_gb: 100.0 };
+    Candidate { free: Room { cpus, gpus, memory_gb: 50.0 }, total, ready_in }
+}
+
+const NEED: Room = Room { cpus: 4.0, gpus: 2.0, memory_gb: 10.0 };
+
+fn pick(candidates: &[Candidate], slack: Time) -> Option<usize> {
+    best_fit(&NEED, candidates, slack, Late::BestFit, Weights::default())
+}
+
+#[test]
+fn least_gpu_room_that_suffices_wins() {
+    let all = [candidate(8.0, 32.0, 0.0), candidate(3.0, 32.0, 0.0), candidate(1.0, 32.0, 0.0)];
+    assert_eq!(pick(&all, 10.0), Some(1));
+    assert_eq!(pick(&all[2..], 10.0), None, "GPU room is never overbooked");
+    assert_eq!(pick(&[candidate(4.0, 3.0, 0.0)], 10.0), None, "nor are CPUs");
+}
+
+#[test]
+fn ties_go_to_the_machine_left_with_least_cpu_and_memory() {
+    assert_eq!(pick(&[candidate(4.0, 30.0, 0.0), candidate(4.0, 8.0, 0.0)], 10.0), Some(1));
+}
+
+#[test]
+fn a_machine_that_is_ready_too_late_does_not_suffice() {
+    let all = [candidate(2.0, 8.0, 30.0), candidate(8.0, 32.0, 5.0)];
+    assert_eq!(pick(&all, 10.0), Some(1));
+    assert_eq!(pick(&all, 40.0), Some(0));
+    assert_eq!(pick(&all, 1.0), Some(1), "if none suffices, the soonest");
+    let cold = [candidate(2.0, 8.0, 30.0), candidate(8.0, 32.0, 30.0)];
+    let pick = |slack| best_fit(&NEED, &cold, slack, Late::MostRoom, Weights::default());
+    assert_eq!((pick(40.0), pick(10.0)), (Some(0), Some(1)), "room where the image will be");
+}
