--- a/src/config.rs
+++ b/src/config.rs
@@ -240,6 +240,9 @@
     Err(ConfigError::Invalid { field: field.into(), problem })
 }
 
+#[cfg(test)]
+mod tests;
+
 /// Settings of one controller, for unit tests.
 #[cfg(test)]
 pub const TEST_SETTINGS: &str = r#"
--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -416,3 +416,6 @@
         self.peers.cut_from_workers(self.io.now, silence)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/core/dependencies.rs
+++ b/src/core/dependencies.rs
@@ -142,3 +142,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/dependencies/tests.rs
@@ -0,0 +1,104 @@
+use super::*;
+use std::rc::Rc;
+
+fn id(number: usize) -> JobId {
+    format!("req-{number:06}").into()
+}
+
+fn record(stance: &str, needs: &[usize], priority: &str, due: Option<f64>) -> JobRecord {
+    let numbers: Vec<String> = needs.iter().map(|n| format!("{n:06}")).collect();
+    let mut spec = serde_json::json!({"c": "c", "t": "red", "k": "sweep", "p": priority, "n": 1,
+        "cpu": 1.0, "gpu": 0.0, "mem": 1.0, "img": "i", "igb": 1.0, "est": 10.0, "ck": 0.0, "sv": 0.0});
+    if !needs.is_empty() {
+        spec["aw"] = numbers.join(" ").into();
+    }
+    if let Some(due) = due {
+        spec["dl"] = due.into();
+    }
+    serde_json::from_value(serde_json::json!({"s": stance, "at": 1000, "n": 1, "jd": spec}))
+        .unwrap()
+}
+
+#[derive(Default)]
+struct Records {
+    jobs: BTreeMap<JobId, Rc<JobRecord>>,
+    index: Dependencies,
+    /// Jobs looked at again so far.
+    changed: usize,
+}
+
+impl Records {
+    fn put(&mut self, number: usize, record: JobRecord) -> BTreeSet<JobId> {
+        let (jobs, mut changed) = (&self.jobs, BTreeSet::new());
+        let job = |id: &JobId| jobs.get(id).map(|job| &**job);
+        self.index.take(&id(number), job(&id(number)), &record, job, &mut changed);
+        self.jobs.insert(id(number), Rc::new(record));
+        self.changed += changed.len();
+        changed
+    }
+}
+
+/// A full read shows jobs in the order of their ids, whatever needs what.
+#[test]
+fn a_cancellation_spreads_whatever_is_read_first() {
+    const LENGTH: usize = 500;
+    for backwards in [false, true] {
+        let mut records = Records::default();
+        let chain: Vec<usize> = (2..=LENGTH).collect();
+        let order: Vec<usize> = if backwards { chain.into_iter().rev().collect() } else { chain };
+        for number in order {
+            records.put(number, record("pending", &[number - 1], "standard", None));
+        }
+        records.put(1, record("withdrawn", &[], "standard", None));
+        assert!((2..=LENGTH).all(|number| records.index.doomed(&id(number))));
+        // One that names it later, and one that doesn't.
+        records.put(901, record("pending", &[LENGTH, 1], "standard", None));
+        records.put(902, record("pending", &[900], "standard", None));
+        assert!(records.index.doomed(&id(901)) && !records.index.doomed(&id(902)));
+        // Written down, nothing is kept of them.
+        (2..=LENGTH).for_each(|number| {
+            drop(records.put(number, record("withdrawn", &[], "standard", None)))
+        });
+        records.put(901, record("withdrawn", &[], "standard", None));
+        assert!(records.index.doomed.is_empty());
+        assert_eq!(records.index.dependents.len(), 1, "only job 900's");
+    }
+}
+
+#[test]
+fn an_end_looks_only_at_its_dependents() {
+    let mut records = Records::default();
+    for number in 1..=200 {
+        records.put(number, record("pending", &[], "standard", None));
+    }
+    for number in 201..=500 {
+        records.put(number, record("pending", &[1, 2], "standard", None));
+    }
+    let before = records.changed;
+    assert_eq!(records.put(1, record("done", &[], "standard", None)).len(), 300);
+    assert_eq!(records.put(3, record("done", &[], "standard", None)).len(), 0);
+    assert_eq!(records.changed - before, 300);
+    assert!(!records.index.dependents.contains_key(&id(1)));
+}
+
+#[test]
+fn urgency_passes_to_all_that_is_needed_and_nothing_lowers_it() {
+    let mut records = Records::default();
+    records.put(1, record("pending", &[], "best_effort", None));
+    records.put(2, record("pending", &[1], "best_effort", None));
+    assert_eq!(records.index.inherited(&id(1)).unwrap().priority, Priority::Low);
+    let changed = records.put(3, record("pending", &[2], "high", Some(60.0)));
+    assert_eq!(changed, [id(1), id(2)].into());
+    // Due 61 s, less its own 10 s; and less another 10 s for the one between.
+    let asked = |records: &Records, number| *records.index.inherited(&id(number)).unwrap();
+    assert_eq!(asked(&records, 2), Urgency { priority: Priority::High, due_ms: Some(51_000) });
+    assert_eq!(asked(&records, 1), Urgency { priority: Priority::High, due_ms: Some(41_000) });
+    records.put(4, record("pending", &[1], "standard", Some(600.0)));
+    records.put(3, record("withdrawn", &[], "high", None));
+    assert_eq!(asked(&records, 1), Urgency { priority: Priority::High, due_ms: Some(41_000) });
+    // What is read before what it needs passes on all the same.
+    records.put(12, record("pending", &[11], "critical", None));
+    records.put(11, record("pending", &[10], "best_effort", None));
+    records.put(10, record("pending", &[], "best_effort", None));
+    assert_eq!(asked(&records, 10).priority, Priority::Production);
+}
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -559,3 +559,6 @@
         self.desk_synced();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -232,6 +232,27 @@
         let (status, body) = ask(&client, Method::POST, cancel, vec![]).await.unwrap();
         assert_eq!((status, &body["stance"]), (200, &json!("withdrawn")));
 
+        let needing = |id: &str, needed: Value| {
+            let mut job = job(id);
+            job["awaits"] = needed;
+            post(encode(&job))
+        };
+        for wrong in [json!("req-000001"), json!(["r-1"]), json!([1])] {
+            assert_eq!(needing("req-000003", wrong).await.unwrap().0, 400);
+        }
+        for never in ["req-000777", "req-000003"] {
+            assert_eq!(needing("req-000003", json!([never])).await.unwrap().0, 422, "{never}");
+        }
+        let many: Vec<&str> = vec!["req-000001"; 2000];
+        assert_eq!(needing("req-000003", json!(many)).await.unwrap().0, 201, "all the same one");
+        let (status, body) =
+            needing("req-000004", json!(["req-000003", "req-000002"])).await.unwrap();
+        assert_eq!((status, &body["stance"]), (201, &json!("withdrawn")));
+        assert_eq!(
+            needing("req-000005", json!(["req-000004"])).await.unwrap().1["stance"],
+            "withdrawn"
+        );
+
         drop(program);
         let _program = start(&file);
         let body = until(&client, Method::GET, "/v1/jobs/req-000001", &[], 200).await;
@@ -239,6 +260,10 @@
         let body = until(&client, Method::GET, "/v1/jobs/req-000002", &[], 200).await;
         assert_eq!(body["stance"], "withdrawn");
         assert_eq!(post(encode(&job("req-000002"))).await.unwrap().1["stance"], "withdrawn");
+        for (id, stance) in [("3", "pending"), ("4", "withdrawn"), ("5", "withdrawn")] {
+            let path = format!("/v1/jobs/req-00000{id}");
+            assert_eq!(until(&client, Method::GET, &path, &[], 200).await["stance"], stance);
+        }
     });
 }
 
@@ -256,6 +281,8 @@
         ("lease_s = 4.0", "lease_s = -4.0", "deployment.workers.lease_s"),
         ("lease_s = 4.0", "", "lease_s"),
         ("txn_ops = 8", "txn_ops = \"8\"", "txn_ops"),
+        ("txn_ops = 8", "txn_ops = 8\nnext = { txn_ops = 1 }", "deployment.state.next.txn_ops"),
+        ("txn_ops = 8", "txn_ops = 8\nnext = { value_kb = 0.0 }", "deployment.state.next.value_kb"),
         ("host_name = \"n0\"", "host_name = \"\"", "host_name"),
     ] {
         let output = run("bad.toml", &good.replace(from, to));
