--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -272,11 +272,13 @@
         // Twice the time after which they are gone: clocks differ, and confirmations take time.
         let recent = (self.config.deployment.workers.cancel_s * 2e3) as u64;
         let mut sum = Room::default();
-        let cancelled = |record: &&JobRecord| record.stance == Stance::Cancelled;
-        for record in view.newest_finals().map(|job| &*job.record).filter(cancelled) {
+        for record in view.newest_finals().map(|job| &job.record) {
             if record.ended_ms.is_some_and(|at| at + recent < wall_ms) {
                 break;
             }
+            if record.stance != Stance::Cancelled {
+                continue;
+            }
             let leaving = record.leaving.as_ref()?;
             if leaving.team == *team {
                 sum = sum.plus(&leaving.need.times(leaving.tasks));
@@ -444,7 +446,10 @@
                 return;
             }
             *not_before = now + io.jitter(pause);
-            let write = put(&job_key(id), &job.record.cancelled(io.wall_ms), None);
+            let mut record = job.record.cancelled(io.wall_ms);
+            // What it needs was never done, so it never began.
+            record.leaving.iter_mut().for_each(|leaving| leaving.tasks = 0);
+            let write = put(&job_key(id), &record, None);
             let transaction = Transaction {
                 guards: vec![guard(&job_key(id), job.version)],
                 writes: vec![write.clone()],
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -208,7 +208,8 @@
     /// Where the job's other tasks are: a plan that put these where the rules will not have them
     /// would never ask for what they need.
     zones: BTreeMap<Zone, u32>,
-    waits: bool,
+    /// How urgent it is, if it waits; None if it is only expected.
+    urgency: Option<Priority>,
 }
 
 /// Somewhere a task could go in a plan.
@@ -313,7 +314,8 @@
             *in_zone.entry(bin.offer.1.clone()).or_default() += 1;
         }
         for wanted in self.demand(types, now) {
-            let Wanted { spec, count, zones: mut per_zone, waits } = wanted;
+            let Wanted { spec, count, zones: mut per_zone, urgency } = wanted;
+            let waits = urgency.is_some();
             let one = Room::of(&spec);
             if waits {
                 let size = if one.gpus > 0.0 { one.gpus } else { one.cpus };
@@ -350,7 +352,6 @@
                     let found = cheapest(types, &spec, &one, &open, &in_zone, &self.refused);
                     let Some((offer, total)) = found else { break };
                     let any_of = offers(types, &spec, &one, &open);
-                    let urgency = waits.then_some(spec.priority);
                     let gpus = one.gpus;
                     need.want(Want { count: 1, offer: offer.clone(), any_of, urgency, gpus });
                     let zone = offer.1.clone();
@@ -414,12 +415,12 @@
                 count += 1;
             }
             let (spec, zones) = (job.spec.clone(), job.zones.clone());
-            demand.push(Wanted { spec, count, zones, waits: true });
+            demand.push(Wanted { spec, count, zones, urgency: Some(job.priority) });
         }
         let boot = longest_boot(types);
         for spec in self.forecast.expected(&self.config, boot, now) {
             let (count, zones) = (spec.tasks, BTreeMap::new());
-            demand.push(Wanted { spec, count, zones, waits: false });
+            demand.push(Wanted { spec, count, zones, urgency: None });
         }
         demand
     }
