--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -283,6 +283,25 @@
     assert!(failures.is_empty(), "{}", failures.join("\n\n"));
 }
 
+/// One-task jobs, four a second for two minutes, a quarter of them called off within seconds, while the
+/// leader ends and the state service is out for a while.
+#[test]
+fn a_flood_of_one_task_jobs_is_served() {
+    let mut day = "seed 6\nmachines 16\nat 60 crash leader 2\nat 80 outage 6\n".to_owned();
+    for job in 1..=480 {
+        let at = 5.0 + f64::from(job) / 4.0;
+        day += &format!("at {at} job array 1 run={} gpus=1\n", 1 + job % 7);
+        if job % 4 == 0 {
+            day += &format!("at {} cancel {job}\n", at + f64::from(job % 5));
+        }
+    }
+    day += "at 4 close_looks 130\nat 4 cancel_at_end 130\nuntil 240\n";
+    let world = play(&day);
+    assert!(report("flood", &world).is_none(), "{}", report("flood", &world).unwrap_or_default());
+    // Created, done or cancelled, and perhaps progress in between; the rest is leases and syncs.
+    assert!(world.work.state_bytes / 480 < 1500, "{:?}", world.work);
+}
+
 /// What ten more tasks cost on a fleet of this many machines, most of which run two replicas.
 fn cost_of_ten_tasks(machines: usize) -> world::Work {
     let text = format!(
