Nothing is refused for good before a read since the question

A 422 rests on this view: of machine types, of the jobs named, of whether the job is known already. A view that is behind must not refuse what another controller has accepted.

--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -89,25 +89,6 @@
 
     fn create(&mut self, mut asked: Asked) {
         let UserRequest::Submit(id, spec) = &asked.what else { return };
-        let Some(refusal) = self.catalog.refusal(&self.config, spec) else {
-            return self.give_up(asked);
-        };
-        if refusal {
-            return self.reply(asked.reply_to, Answer::empty(422));
-        }
-        let unknown = spec.dependencies.iter().any(|needed| self.view.job(needed).is_none());
-        // Only a read since the question tells that nobody ever accepted a job. And a controller that
-        // stood still may have missed the cancellation of one long ago (meeting day 97).
-        let age = self.io.now - self.view.current_as_of;
-        let behind = age > self.config.deployment.workers.report_s && !spec.dependencies.is_empty();
-        if (unknown || behind) && self.view.current_as_of < asked.needs {
-            self.view.want_sync();
-            return self.desk.waiting.push(asked);
-        }
-        if unknown {
-            let error = serde_json::json!({"error": "awaits: a job that was never accepted"});
-            return self.reply(asked.reply_to, Answer::value(422, error));
-        }
         let record = JobRecord {
             stance: Stance::Pending,
             accepted_ms: self.io.wall_ms,
@@ -117,16 +98,31 @@
             ended_ms: None,
             leaving: None,
         };
-        let write = put(&job_key(id), &record, None);
-        if let Write::Put { value, .. } = &write
-            && value.to_string().len() as f64 > self.config.deployment.state.value_kb * 1024.0
-        {
-            // The state service would refuse it for ever.
-            let error = serde_json::json!({"error": "too large: awaits or breeds name too many"});
-            return self.reply(asked.reply_to, Answer::value(422, error));
+        let key = job_key(id);
+        let write = put(&key, &record, None);
+        let Some(never) = self.catalog.refusal(&self.config, spec) else {
+            return self.give_up(asked);
+        };
+        let unknown = spec.dependencies.iter().any(|needed| self.view.job(needed).is_none());
+        let refusal = match write.bytes() as f64 > self.config.deployment.state.value_kb * 1024.0 {
+            _ if never => Some("can never run"),
+            _ if unknown => Some("awaits: a job that was never accepted"),
+            true => Some("awaits or breeds: too many"),
+            false => None,
+        };
+        // Only a read since the question tells that nobody has accepted this job or one that it needs. And
+        // a controller that stood still may have missed a cancellation long ago (meeting day 97).
+        let age = self.io.now - self.view.current_as_of;
+        let behind = age > self.config.deployment.workers.report_s && !spec.dependencies.is_empty();
+        if (refusal.is_some() || behind) && self.view.current_as_of < asked.needs {
+            self.view.want_sync();
+            return self.desk.waiting.push(asked);
+        }
+        if let Some(problem) = refusal {
+            let answer = Answer::value(422, serde_json::json!({"error": problem}));
+            return self.reply(asked.reply_to, answer);
         }
         asked.created = true;
-        let key = job_key(id);
         self.commit(asked, key, 0, write);
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -492,6 +492,16 @@
     },
 }
 
+impl Write {
+    /// Size of the value, as its limit counts it.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Put { value, .. } => value.to_string().len(),
+            Self::Delete { .. } => 0,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Transaction {
     pub guards: Vec<Guard>,
