--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -211,6 +211,10 @@
         self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Faulty(m) if m == machine))
     }
 
+    pub fn calm(&self) -> bool {
+        self.faults.is_empty()
+    }
+
     pub fn mute(&self, machine: &MachineId) -> bool {
         self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Mute(m) if m == machine))
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -172,6 +172,8 @@
     CancelDue {
         job: usize,
     },
+    /// Looks for jobs that are left waiting.
+    Watch,
     /// What a scenario needs to have come about by now, or it proves nothing.
     Expect {
         job: usize,
@@ -254,6 +256,8 @@
     pub limits: Limits,
     /// Controllers of the version before; they come back so until they are upgraded.
     pub old: BTreeSet<usize>,
+    /// Since when no trouble is on.
+    calm_since: f64,
     /// Reports kept for the next leader, and who led last.
     kept: Vec<(MachineId, Report)>,
     led: Option<usize>,
@@ -299,6 +303,7 @@
             work: Work::default(),
             limits: Limits { value_kb: 4.0, txn_ops: 8 },
             old: BTreeSet::new(),
+            calm_since: 0.0,
             kept: Vec::new(),
             led: None,
             map_fault: None,
@@ -307,6 +312,7 @@
             world.at(0.1 * node as f64, Event::Restart { node });
         }
         world.at(7.0, Event::AskUnknown);
+        world.at(5.0, Event::Watch);
         world
     }
 
@@ -393,6 +399,7 @@
             Event::Poll { job } => self.user_asks(job, users::Ask::Poll),
             Event::Look { job, node, ask } => self.look(job, node, ask),
             Event::CancelDue { job } => self.cancel_due(job),
+            Event::Watch => self.watch(),
             Event::Expect { job, what } => self.expect(job, &what),
             Event::AskUnknown => self.ask_unknown(),
             Event::UserAnswer { job, ask, asked, answer } => {
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -28,8 +28,13 @@
     /// When it was last answered.
     answered: f64,
     finished: BTreeSet<u32>,
+    /// Since when it waits though it could run.
+    waits_since: Option<f64>,
 }
 
+/// How long a job may wait in calm times beside a machine that has room for it.
+const STARVED_S: f64 = 90.0;
+
 #[derive(Default)]
 pub struct Users {
     jobs: Vec<User>,
@@ -50,6 +55,7 @@
             told_cancelled: None,
             answered: 0.0,
             finished: BTreeSet::new(),
+            waits_since: None,
         });
         self.jobs.len() - 1
     }
@@ -291,6 +297,35 @@
         }
     }
 
+    /// Once the troubles are over, no job is left waiting while a machine that fits has room and its
+    /// team is under its limit.
+    pub(super) fn watch(&mut self) {
+        let now = self.now;
+        let all_up = self.nodes.iter().all(|node| node.core.is_some() && now >= node.frozen_until);
+        if !self.net.calm() || !all_up {
+            self.calm_since = now;
+        }
+        for index in 0..self.users.jobs.len() {
+            let user = &self.users.jobs[index];
+            let waits = now > self.calm_since
+                && user.accepted
+                && user.told_done.is_none()
+                && self.users.orphan_since(&user.id).is_none()
+                && self.users.not_ready(&user.id).is_none()
+                && (user.finished.len() as u32) < user.spec.tasks
+                && self.tasks_on(&user.id) == 0
+                && self.has_room(&user.spec);
+            let id = user.id.clone();
+            let since = &mut self.users.jobs[index].waits_since;
+            *since = if waits { since.or(Some(now)) } else { None };
+            if since.is_some_and(|since| now > since + STARVED_S) {
+                *since = None;
+                self.breaks("starved", format!("{id} waits beside a machine with room"));
+            }
+        }
+        self.after(5.0, Event::Watch);
+    }
+
     /// Checks that a scenario's troubles meet as it says.
     pub(super) fn expect(&mut self, job: usize, what: &str) {
         let user = &self.users.jobs[job];
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -5,7 +5,7 @@
 use super::{Event, GANG_PEER_S, GANG_WAIT_S, GPUS_MAX, LEASE_S, REPORT_S, World};
 use ochredrum::core::{Answer, Body, CallId, Input, WorkerReply};
 use ochredrum::ids::{Attempt, JobId, MachineId, TaskId, Term};
-use ochredrum::wire::{DirectOrders, Exit, Kind, Order, Report, ReportedTask, TaskState};
+use ochredrum::wire::{DirectOrders, Exit, JobSpec, Kind, Order, Report, ReportedTask, TaskState};
 use rand::Rng;
 use std::collections::BTreeMap;
 
@@ -505,6 +505,35 @@
         }
     }
 
+    /// Whether some machine could run one task of a job, within its team's limit. Jobs that are bound to
+    /// one another's places, or need more than one machine at once, are left out.
+    pub(super) fn has_room(&self, spec: &JobSpec) -> bool {
+        if spec.kind == Kind::Gang || spec.one_zone || spec.spread {
+            return false;
+        }
+        let used = |worker: &Worker| {
+            let running = worker.tasks.iter().filter(|(_, r)| r.state != TaskState::Exited);
+            let specs = running.filter_map(|((task, _), _)| self.users.spec(&task.job));
+            specs.fold((0.0, 0.0, 0.0, 0.0), |sum, s| {
+                let blue = if s.team.as_str() == "blue" { s.gpus } else { 0.0 };
+                (sum.0 + s.gpus, sum.1 + s.cpus, sum.2 + s.memory_gb, sum.3 + blue)
+            })
+        };
+        let blue: f64 = self.workers.values().map(|worker| used(worker).3).sum();
+        if spec.team.as_str() == "blue" && blue + spec.gpus > GPUS_MAX {
+            return false;
+        }
+        self.workers.values().any(|worker| {
+            let Some(owned) = self.cloud.get(&worker.id) else { return false };
+            let used = used(worker);
+            (spec.spot || !owned.spot)
+                && spec.zone.as_ref().is_none_or(|zone| *zone == owned.zone)
+                && used.0 + spec.gpus <= GPUS
+                && used.1 + spec.cpus <= CPUS
+                && used.2 + spec.memory_gb <= MEMORY_GB
+        })
+    }
+
     /// Tasks of a job that are on a machine by the rules.
     pub(super) fn tasks_on(&self, job: &JobId) -> usize {
         let tasks = self.workers.values().flat_map(|w| &w.tasks);
