--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -286,6 +286,9 @@
         }
         // Users may ask at any later time, only less often.
         self.after(if over { 20.0 } else { 5.0 }, Event::Poll { job });
+        if self.users.cancelled_for_long(&id, now) && self.tasks_on(&id) > 0 {
+            self.breaks("ran_cancelled", format!("{id} still has tasks"));
+        }
     }
 
     /// `cancel_s` after its user was told, not only when somebody asks: in an outage nobody may.
