Simplify: stops only where they are sent, one pass for usage, one write of records

Read again: stops of ended jobs were put together for every report, though only machines that have not shown their token get them; what is held on machines was gone through twice for a team's usage; the guarded write of a job's record stood in two places. In the runner one question serves all faults that are simply on or off, values are measured by the code's own function, and a lost answer is decided before the event is made. Nothing behaves differently.

--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -449,13 +449,7 @@
             let mut record = job.record.cancelled(io.wall_ms);
             // What it needs was never done, so it never began.
             record.leaving.iter_mut().for_each(|leaving| leaving.tasks = 0);
-            let write = put(&job_key(id), &record, None);
-            let transaction = Transaction {
-                guards: vec![guard(&job_key(id), job.version)],
-                writes: vec![write.clone()],
-            };
-            let pending = Pending::Job(JobWrite { job: id.clone(), write });
-            io.state(pending, StateCall::Commit(transaction));
+            write_record(io, id, job.version, &record);
         }
     }
 
@@ -546,15 +540,7 @@
             };
             job.write_out = true;
             job.dirty = None;
-            let key = job_key(&id);
-            let write = put(&key, &record, None);
-            let transaction = Transaction {
-                // Progress is true whoever records it: the record's version is guard enough.
-                guards: vec![guard(&key, job.version)],
-                writes: vec![write.clone()],
-            };
-            let pending = Pending::Job(JobWrite { job: id, write });
-            io.state(pending, StateCall::Commit(transaction));
+            write_record(io, &id, job.version, &record);
         }
     }
 
@@ -631,9 +617,14 @@
     /// Everything of our teams that may be on a machine, and what may be on machines not heard.
     pub(super) fn usage(&self) -> Usage {
         let mut usage = Usage::default();
-        for held in self.machines.values().flat_map(|m| m.on.values()) {
-            if let (Some(room), Some(team), false) = (&held.room, &held.team, held.exited()) {
-                usage.add(team, room.cpus, room.gpus);
+        // Whether there is a task that is over, of a record that doesn't say whose it was.
+        let mut stray = false;
+        let held = self.machines.values().flat_map(|m| m.on.values());
+        for held in held.filter(|held| !held.exited()) {
+            match (&held.room, &held.team) {
+                (Some(room), Some(team)) => usage.add(team, room.cpus, room.gpus),
+                (_, None) => stray |= held.forget,
+                (None, Some(_)) => {}
             }
         }
         for job in self.jobs.values().filter(|job| job.unsettled() > 0) {
@@ -648,15 +639,23 @@
                 None => usage.close(name),
             }
         }
-        // Somebody's task that is over, of a record that doesn't say whose.
-        let stray = |held: &Held| held.team.is_none() && held.forget && !held.exited();
-        if self.machines.values().flat_map(|m| m.on.values()).any(stray) {
+        if stray {
             self.teams.keys().for_each(|name| usage.close(name));
         }
         usage
     }
 }
 
+/// Progress and ends are true whoever records them: the record's version is guard enough.
+fn write_record(io: &mut Io, id: &JobId, version: Version, record: &JobRecord) {
+    let key = job_key(id);
+    let write = put(&key, record, None);
+    let transaction =
+        Transaction { guards: vec![guard(&key, version)], writes: vec![write.clone()] };
+    let pending = Pending::Job(JobWrite { job: id.clone(), write });
+    io.state(pending, StateCall::Commit(transaction));
+}
+
 pub(super) fn describe(held: &mut Held, spec: &JobSpec) {
     held.room = Some(Room::of(spec));
     held.team = Some(spec.team.clone());
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -62,12 +62,11 @@
             // Somebody with a later term is in charge; the map will tell.
             return Some(Answer::unavailable());
         }
-        let ended = stops_of_ended(&report, view);
         match machine.freshness(&report, false) {
             Freshness::Copy => return Some(Answer::unavailable()),
             Freshness::Overtaken => {}
             Freshness::News { new_session } => {
-                self.take_report(io, view, report, new_session, true);
+                self.take_report(io, view, &report, new_session, true);
             }
         }
         self.heard = now;
@@ -82,7 +81,7 @@
         machine.empty = false;
         // Until the machine has shown its token it gets that and no commands but stops of what is over:
         // an answer keeps its tasks alive, and with one owner after the other it might never get them.
-        let orders = if machine.trusted { machine.orders() } else { ended };
+        let orders = if machine.trusted { machine.orders() } else { stops_of_ended(&report, view) };
         for held in machine.on.values_mut().filter(|h| h.phase == Phase::Issued) {
             held.in_answer |= machine.trusted && held.stop.is_none();
         }
@@ -95,7 +94,7 @@
         &mut self,
         io: &mut Io,
         view: &View,
-        report: Report,
+        report: &Report,
         new_session: bool,
         checkin: bool,
     ) {
@@ -504,7 +503,7 @@
                     return;
                 }
                 if let Freshness::News { new_session } = machine.freshness(&report, true) {
-                    self.take_report(io, view, report, new_session, false);
+                    self.take_report(io, view, &report, new_session, false);
                 }
             }
             WorkerReply::NotSent => {
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -140,6 +140,7 @@
     Late,
 }
 
+#[derive(PartialEq)]
 enum Kind {
     Outage,
     CloudOutage,
@@ -204,11 +205,15 @@
     }
 
     pub fn deaf(&self, machine: &MachineId) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Deaf(m) if m == machine))
+        self.on(&Kind::Deaf(machine.clone()))
     }
 
     pub fn faulty(&self, machine: &MachineId) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Faulty(m) if m == machine))
+        self.on(&Kind::Faulty(machine.clone()))
+    }
+
+    fn on(&self, wanted: &Kind) -> bool {
+        self.faults.iter().any(|(_, _, kind)| kind == wanted)
     }
 
     pub fn calm(&self) -> bool {
@@ -216,48 +221,47 @@
     }
 
     pub fn mute(&self, machine: &MachineId) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Mute(m) if m == machine))
+        self.on(&Kind::Mute(machine.clone()))
     }
 
     pub fn lost_answers(&self) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::LostAnswers))
+        self.on(&Kind::LostAnswers)
     }
 
     pub fn copies_for_next(&self) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::CopiesForNext))
+        self.on(&Kind::CopiesForNext)
     }
 
     pub fn instant_boots(&self) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::InstantBoots))
+        self.on(&Kind::InstantBoots)
     }
 
     pub fn close_looks(&self) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::CloseLooks))
+        self.on(&Kind::CloseLooks)
     }
 
     pub fn cancel_at_end(&self) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::CancelAtEnd))
+        self.on(&Kind::CancelAtEnd)
     }
 
     pub fn copies(&self) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Copies))
+        self.on(&Kind::Copies)
     }
 
     pub fn late_writes(&self) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::LateWrites))
+        self.on(&Kind::LateWrites)
     }
 
     pub fn cloud_down(&self) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::CloudOutage))
+        self.on(&Kind::CloudOutage)
     }
 
     fn outage(&self) -> bool {
-        self.faults.iter().any(|(_, _, kind)| matches!(kind, Kind::Outage))
+        self.on(&Kind::Outage)
     }
 
     pub fn state_refuses(&self, node: usize) -> bool {
-        let refused = |kind: &Kind| matches!(kind, Kind::Refuse(n) if *n == node);
-        self.outage() || self.faults.iter().any(|(_, _, kind)| refused(kind))
+        self.outage() || self.on(&Kind::Refuse(node))
     }
 
     /// After an outage every lease has its full time again: when the last outage ended.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -594,18 +594,14 @@
                 }
                 let lost = Box::new(Input::State(call, StateReply::Unknown));
                 let unsent = Box::new(Input::State(call, StateReply::Refused));
-                let late = matches!(what, StateCall::Commit(_)) && self.late_commit(&what);
-                let event = Event::State { node, epoch, call, what };
-                if matches!(&event, Event::State { what: StateCall::Commit(_), .. })
-                    && self.net.lost_answers()
-                    && self.rng.random_bool(0.3)
-                {
+                let commit = matches!(what, StateCall::Commit(_));
+                let late = commit && self.late_commit(&what);
+                if commit && self.net.lost_answers() && self.rng.random_bool(0.3) {
                     // Nobody is of this epoch, so the answer reaches nobody.
-                    if let Event::State { node, call, what, .. } = event {
-                        self.after(0.002, Event::State { node, epoch: u64::MAX, call, what });
-                    }
+                    self.after(0.002, Event::State { node, epoch: u64::MAX, call, what });
                     return self.after(LEASE_S / 12.0, Event::Input { node, epoch, input: lost });
                 }
+                let event = Event::State { node, epoch, call, what };
                 if late {
                     let delay = self.rng.random_range(1.5..LEASE_S * 1.5);
                     self.after(delay, event);
@@ -711,12 +707,7 @@
 
     /// What the real service would refuse for ever.
     fn check_limits(&mut self, transaction: &Transaction) {
-        let size = |value: &serde_json::Value| value.to_string().len();
-        let largest = transaction.writes.iter().map(|write| match write {
-            Write::Put { value, .. } => size(value),
-            Write::Delete { .. } => 0,
-        });
-        let largest = largest.max().unwrap_or(0);
+        let largest = transaction.writes.iter().map(Write::bytes).max().unwrap_or(0);
         let text = serde_json::to_string(transaction).unwrap_or_default();
         let ops = self.limits.txn_ops;
         if largest as f64 > self.limits.value_kb * 1024.0
