--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -1,8 +1,12 @@
-//! Records and messages of the version in production, and what this version makes of them.
+//! Records and messages of earlier versions, and what this version makes of them.
 //!
-//! `fixtures/production.json` was printed by an example program built beside commit 4f704a4 (named in
-//! `deploy/service.toml`): its own types, written by its own `serde_json` and `ciborium` calls;
-//! messages as hexadecimal CBOR.
+//! Each fixture was printed by an example program built inside a checkout of that version: its own
+//! types, written by its own `serde_json` and `ciborium` calls; messages as hexadecimal CBOR.
+//!
+//! - `fixtures/production.json`: commit 4f704a4, named in `deploy/service.toml`, before pipelines.
+//! - `fixtures/first_with_pipelines.json`: commit 8e74ff9, the first landing with pipelines.
+//!
+//! What is read and written again to the letter can be read by the version that wrote it first.
 
 use ochredrum::core::part_map::MapChunk;
 use ochredrum::core::peers::{MeshMessage, MeshReply};
@@ -54,6 +58,41 @@
     }
 }
 
+fn pipelines_fixture() -> Value {
+    serde_json::from_str(include_str!("fixtures/first_with_pipelines.json")).unwrap()
+}
+
+#[test]
+fn what_the_first_pipelines_version_stored_is_rewritten_as_it_was() {
+    let stored = &pipelines_fixture()["records"];
+    for name in ["job", "job_waiting", "job_done", "job_cancelled"] {
+        assert_eq!(rewritten::<JobRecord>(&stored[name]), stored[name], "{name}");
+    }
+    assert_eq!(rewritten::<ProcessRecord>(&stored["process"]), stored["process"]);
+    assert_eq!(rewritten::<MapChunk>(&stored["map"]), stored["map"]);
+    assert_eq!(rewritten::<MachineTypes>(&stored["types"]), stored["types"]);
+    let waiting: JobRecord = serde_json::from_value(stored["job_waiting"].clone()).unwrap();
+    let needed = &waiting.spec.as_ref().unwrap().dependencies;
+    assert_eq!(*needed, ["req-000007".into(), "req-0000000012".into()]);
+    let cancelled: JobRecord = serde_json::from_value(stored["job_cancelled"].clone()).unwrap();
+    assert!(cancelled.ended_ms.is_some() && cancelled.leaving.is_some());
+}
+
+#[test]
+fn what_the_first_pipelines_version_sent_is_sent_as_it_was() {
+    let sent = pipelines_fixture();
+    let messages = sent["messages"].as_object().unwrap();
+    assert_eq!(messages.len(), 7);
+    for (name, message) in messages {
+        assert_eq!(resent::<MeshMessage>(message), message.as_str().unwrap(), "{name}");
+    }
+    let replies = sent["replies"].as_object().unwrap();
+    assert_eq!(replies.len(), 4);
+    for (name, reply) in replies {
+        assert_eq!(resent::<MeshReply>(reply), reply.as_str().unwrap(), "{name}");
+    }
+}
+
 /// To production a record without `j` is a job that it answers for and cancels, but never starts.
 #[test]
 fn a_job_with_dependencies_has_no_description_for_production() {
