Limits: what is left of cancelled jobs is derived from the view, with its time bound

A controller that had just begun added the cancelled jobs of all its history to a limited team until that was settled, which delayed its starts. Now one place (quota, cancelled) derives it: cancelled within two cancel_s, or recorded since the team was gained, less what is seen on machines. Records of a version that did not write the time count until a later record is old.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 //! go in, [`Effect`]s come out. Same inputs, same times and same seed give the same effects.
 
 pub mod authority;
+pub mod cancelled;
 pub mod dependencies;
 pub mod desk;
 pub mod gather;
@@ -321,7 +322,7 @@
         if self.authority.entitled(now) {
             if let Some(owner) = self.owner.as_mut() {
                 owner.advance(&mut self.io, &mut self.view, &self.catalog, &self.quiet);
-                owner.plan_when_due(&self.io, &self.catalog);
+                owner.plan_when_due(&self.io, &self.view, &self.catalog);
                 if !owner.has_machines() {
                     // Nobody to hear from: silence says nothing.
                     self.peers.heard_workers(now);
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -9,13 +9,12 @@
 use super::part_map;
 use super::placement::{Room, Weights};
 use super::quiet::Quiet;
-use super::quota::Usage;
 use super::supply::{Catalog, Forecast, Need, Offer};
 use super::view::{JobRecord, Leaving, View, guard, job_key, put};
 use super::{StateCall, StateReply, Time};
 use crate::config::Config;
 use crate::ids::{Attempt, Image, JobId, MachineId, Node, TaskId, Team, Term, Version};
-use crate::wire::{Exit, JobSpec, Stance, Transaction, Write};
+use crate::wire::{Exit, JobSpec, Transaction, Write};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -33,9 +32,6 @@
     /// Machines that may still hold tasks of it which nobody has told of.
     pub unsettled: BTreeSet<MachineId>,
     attempts: u64,
-    /// Until it is settled: what may be left of its cancelled jobs where nobody has told. None: a
-    /// record that doesn't say whose it was may be one of its own.
-    leaving: Option<Room>,
 }
 
 pub struct Owner {
@@ -161,7 +157,7 @@
             self.changed = false;
             self.scheduled = now;
             self.drain(now);
-            self.schedule(catalog, now);
+            self.schedule(io, view, catalog);
         }
         self.count_running(now);
         self.push_orders(io);
@@ -253,9 +249,8 @@
     fn gain_team(&mut self, io: &mut Io, view: &View, team: Team, term: Term) {
         tracing::info!("team {team} is ours under term {}", term.0);
         let unsettled = view.owners().machines.keys().cloned().collect();
-        let leaving = self.leaving(view, &team, io.wall_ms);
         let gained = view.map_revision();
-        let owned = OwnedTeam { term, gained, unsettled, attempts: 0, leaving };
+        let owned = OwnedTeam { term, gained, unsettled, attempts: 0 };
         self.teams.insert(team.clone(), owned);
         self.settle_when_known(view);
         let of_team = |record: &JobRecord| record.spec.as_ref().is_some_and(|s| s.team == team);
@@ -267,26 +262,6 @@
         }
     }
 
-    /// What may be left of a team's jobs that were cancelled not long ago.
-    fn leaving(&self, view: &View, team: &Team, wall_ms: u64) -> Option<Room> {
-        // Twice the time after which they are gone: clocks differ, and confirmations take time.
-        let recent = (self.config.deployment.workers.cancel_s * 2e3) as u64;
-        let mut sum = Room::default();
-        for record in view.newest_finals().map(|job| &job.record) {
-            if record.ended_ms.is_some_and(|at| at + recent < wall_ms) {
-                break;
-            }
-            if record.stance != Stance::Cancelled {
-                continue;
-            }
-            let leaving = record.leaving.as_ref()?;
-            if leaving.team == *team {
-                sum = sum.plus(&leaving.need.times(leaving.tasks));
-            }
-        }
-        Some(sum)
-    }
-
     /// A team's tasks that nobody showed are nowhere once every machine is settled.
     fn settle_when_known(&mut self, view: &View) {
         let machines = &self.machines;
@@ -354,7 +329,7 @@
         (now, wall_ms): (Time, u64),
     ) {
         if record.is_final() {
-            return self.job_over(id, record);
+            return self.job_over(id);
         }
         if let Some(job) = self.jobs.get_mut(id) {
             job.version = version;
@@ -454,21 +429,8 @@
     }
 
     /// Done or cancelled, and recorded so: its tasks go, and their exits may be forgotten.
-    fn job_over(&mut self, id: &JobId, record: &JobRecord) {
+    fn job_over(&mut self, id: &JobId) {
         self.changed |= self.jobs.remove(id).is_some();
-        if record.stance == Stance::Cancelled {
-            let unsettled = self.teams.values_mut().filter(|team| !team.unsettled.is_empty());
-            match &record.leaving {
-                None => unsettled.for_each(|team| team.leaving = None),
-                Some(left) => {
-                    if let Some(team) = self.teams.get_mut(&left.team)
-                        && let Some(sum) = &mut team.leaving
-                    {
-                        *sum = sum.plus(&left.need.times(left.tasks));
-                    }
-                }
-            }
-        }
         for machine in self.machines.values_mut() {
             for ((task, _), held) in &mut machine.on {
                 if task.job != *id {
@@ -613,37 +575,6 @@
             }
         }
     }
-
-    /// Everything of our teams that may be on a machine, and what may be on machines not heard.
-    pub(super) fn usage(&self) -> Usage {
-        let mut usage = Usage::default();
-        // Whether there is a task that is over, of a record that doesn't say whose it was.
-        let mut stray = false;
-        let held = self.machines.values().flat_map(|m| m.on.values());
-        for held in held.filter(|held| !held.exited()) {
-            match (&held.room, &held.team) {
-                (Some(room), Some(team)) => usage.add(team, room.cpus, room.gpus),
-                (_, None) => stray |= held.forget,
-                (None, Some(_)) => {}
-            }
-        }
-        for job in self.jobs.values().filter(|job| job.unsettled() > 0) {
-            let tasks = f64::from(job.unsettled());
-            usage.add(&job.spec.team, job.spec.cpus * tasks, job.spec.gpus * tasks);
-        }
-        // Cancelled jobs' tasks run on where a stop has not arrived, and a new owner has to count
-        // them too: a limit holds for what runs, wanted or not.
-        for (name, team) in self.teams.iter().filter(|(_, team)| !team.unsettled.is_empty()) {
-            match &team.leaving {
-                Some(room) => usage.add(name, room.cpus, room.gpus),
-                None => usage.close(name),
-            }
-        }
-        if stray {
-            self.teams.keys().for_each(|name| usage.close(name));
-        }
-        usage
-    }
 }
 
 /// Progress and ends are true whoever records them: the record's version is guard enough.
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -2,6 +2,7 @@
 use super::super::quiet::Silence;
 use super::super::view::MAP_PREFIX;
 use super::*;
+use crate::wire::Stance;
 use rand::SeedableRng;
 
 fn record(done: bool) -> JobRecord {
@@ -91,9 +92,11 @@
         share.take_job(&view, &id.into(), &Rc::new(record), 9, (0.0, 0));
     }
     let started = |share: &Owner| share.machines[&MachineId::from("m-1")].on.len();
-    share.schedule(&Catalog::default(), 0.1);
+    io.begin(0.1, 0);
+    share.schedule(&io, &view, &Catalog::default());
     assert_eq!(started(&share), 2, "both replicas of one image, none of the other");
-    share.schedule(&Catalog::default(), 60.0);
+    io.begin(60.0, 0);
+    share.schedule(&io, &view, &Catalog::default());
     assert_eq!(started(&share), 4, "not for ever");
 }
 
@@ -226,3 +229,73 @@
     let unsettled = ids.map(|id| share.jobs[&id].unsettled());
     assert_eq!(unsettled, [2, 1, 0], "before the gain; begun before it was seen; after it");
 }
+
+/// A team's new owner counts what was cancelled lately, and since it has the team, until all machines
+/// have told what they hold; a long history of cancellations delays nothing.
+#[test]
+fn only_recent_cancellations_count_towards_a_limit() {
+    let (mut share, mut io, mut view) = share();
+    let now_ms = 1_000_000;
+    let recent_ms = now_ms - 59_000;
+    let cancelled = |at: u64| JobRecord { ended_ms: Some(at), ..record(false).cancelled(at) };
+    let tell = |view: &mut View, id: &str, record: &JobRecord, version: Version| {
+        view.apply_write(&put(&job_key(&id.into()), record, None), version);
+    };
+    for number in 0..50 {
+        let old = cancelled(now_ms - 61_000);
+        tell(&mut view, &format!("req-{number:06}"), &old, number + 1);
+    }
+    let mine = |teams| Share { owner: owner("n0"), teams, machines: vec!["m-1".into()] };
+    map(&mut view, 60, vec![mine(vec!["red".into()])]);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    io.begin(1.0, now_ms);
+    let used = |share: &Owner, view: &View| share.usage(view, now_ms).gpus(&"red".into());
+    assert_eq!(used(&share, &view), 0.0, "long gone");
+    tell(&mut view, "req-000100", &cancelled(recent_ms), 59);
+    assert_eq!(used(&share, &view), 2.0, "perhaps still there");
+    // Carried out late, after newer ones: the team was gained before.
+    tell(&mut view, "req-000101", &cancelled(1), 61);
+    assert_eq!(used(&share, &view), 4.0);
+    // What is seen is counted where it is, and not twice.
+    let machine = share.machines.get_mut(&MachineId::from("m-1")).unwrap();
+    let mut held = Held::new(0.0);
+    describe_leaving(
+        &mut held,
+        view.job(&"req-000100".into()).unwrap().record.leaving.as_ref().unwrap(),
+    );
+    held.forget = true;
+    machine.on.insert((TaskId { job: "req-000100".into(), index: 1 }, Attempt(1)), held);
+    assert_eq!(used(&share, &view), 4.0);
+    let limits = crate::config::TeamLimits {
+        name: "red".into(),
+        cpus: 0.0,
+        cpus_max: 0.0,
+        gpus: 0.0,
+        gpus_max: 9.0,
+    };
+    assert!(share.usage(&view, now_ms).allows(&limits, 1.0, 1.0));
+    // Whose it was is not known: by an older version, and no later record is old.
+    let plain = JobRecord { ended_ms: None, leaving: None, ..cancelled(1) };
+    tell(&mut view, "req-000102", &plain, 62);
+    assert!(!share.usage(&view, now_ms).allows(&limits, 1.0, 1.0));
+    share.teams.get_mut(&Team::from("red")).unwrap().unsettled.clear();
+    assert_eq!(used(&share, &view), 1.0, "settled: only what is held");
+    assert!(share.usage(&view, now_ms).allows(&limits, 1.0, 1.0));
+}
+
+/// Records of an older version, which don't tell their time, are as old as the records before which
+/// they were written.
+#[test]
+fn cancellations_without_a_time_count_until_a_later_record_is_old() {
+    let (_, _, mut view) = share();
+    let since = super::super::cancelled::Since { wall_ms: 1000, version: 90 };
+    let plain = JobRecord { ended_ms: None, leaving: None, ..record(false).cancelled(1) };
+    view.apply_write(&put(&job_key(&"req-000001".into()), &plain, None), 10);
+    assert!(view.undescribed_cancellation_since(since));
+    view.apply_write(&put(&job_key(&"req-000002".into()), &record(false).done(1500), None), 11);
+    assert!(view.undescribed_cancellation_since(since));
+    view.apply_write(&put(&job_key(&"req-000003".into()), &record(false).done(900), None), 12);
+    assert!(!view.undescribed_cancellation_since(since));
+    view.apply_write(&put(&job_key(&"req-000004".into()), &plain, None), 91);
+    assert!(view.undescribed_cancellation_since(since), "since the team was gained");
+}
--- a/src/core/quota.rs
+++ b/src/core/quota.rs
@@ -1,10 +1,16 @@
 //! Teams' guarantees and limits, against everything that may be on a machine.
 
+use super::cancelled::Since;
+use super::owner::Owner;
+use super::view::View;
 use crate::config::TeamLimits;
-use crate::ids::Team;
+use crate::ids::{JobId, Team};
 use std::collections::{BTreeMap, BTreeSet};
 
 const EPSILON: f64 = 1e-6;
+/// Times `cancel_s` after which nothing can be left of a cancelled job: once for its tasks to go, and
+/// once more for clocks that differ and for transactions that are carried out late.
+const CANCELLED_COUNTS: f64 = 2.0;
 
 /// What each team may be using at this moment.
 #[derive(Debug, Default)]
@@ -25,6 +31,11 @@
         self.closed.insert(team.clone());
     }
 
+    #[cfg(test)]
+    pub fn gpus(&self, team: &Team) -> f64 {
+        self.of(team).1
+    }
+
     fn of(&self, team: &Team) -> (f64, f64) {
         self.used.get(team).copied().unwrap_or_default()
     }
@@ -49,6 +60,76 @@
     }
 }
 
+impl Owner {
+    /// Everything of our teams that may be on a machine, and what may be on machines not heard.
+    pub(super) fn usage(&self, view: &View, wall_ms: u64) -> Usage {
+        let mut usage = Usage::default();
+        self.add_held(&mut usage);
+        self.add_unsettled(&mut usage);
+        self.add_cancelled(view, wall_ms, &mut usage);
+        usage
+    }
+
+    fn add_held(&self, usage: &mut Usage) {
+        // Whether there is a task that is over, of a record that doesn't say whose it was.
+        let mut stray = false;
+        let held = self.machines.values().flat_map(|machine| machine.on.values());
+        for held in held.filter(|held| !held.exited()) {
+            match (&held.room, &held.team) {
+                (Some(room), Some(team)) => usage.add(team, room.cpus, room.gpus),
+                (_, None) => stray |= held.forget,
+                (None, Some(_)) => {}
+            }
+        }
+        if stray {
+            self.teams.keys().for_each(|name| usage.close(name));
+        }
+    }
+
+    fn add_unsettled(&self, usage: &mut Usage) {
+        for job in self.jobs.values().filter(|job| job.unsettled() > 0) {
+            let tasks = f64::from(job.unsettled());
+            usage.add(&job.spec.team, job.spec.cpus * tasks, job.spec.gpus * tasks);
+        }
+    }
+
+    /// Cancelled jobs' tasks run on where a stop has not arrived, and a team's new owner has to
+    /// count them too until every machine has told what it holds.
+    fn add_cancelled(&self, view: &View, wall_ms: u64, usage: &mut Usage) {
+        let unsettled: Vec<_> =
+            self.teams.iter().filter(|(_, team)| !team.unsettled.is_empty()).collect();
+        if unsettled.is_empty() {
+            return;
+        }
+        let held = self.held_of_cancelled();
+        let recent_ms = self.config.deployment.workers.cancel_s * CANCELLED_COUNTS * 1e3;
+        let recent = wall_ms.saturating_sub(recent_ms as u64);
+        for (name, team) in unsettled {
+            let since = Since { wall_ms: recent, version: team.gained };
+            if view.undescribed_cancellation_since(since) {
+                usage.close(name);
+            }
+            for (id, leaving) in view.cancelled_since(since).filter(|(_, l)| l.team == *name) {
+                let known = held.get(id).map_or(0, BTreeSet::len) as u32;
+                let tasks = f64::from(leaving.tasks.saturating_sub(known));
+                usage.add(name, leaving.need.cpus * tasks, leaving.need.gpus * tasks);
+            }
+        }
+    }
+
+    /// The tasks of cancelled jobs that are counted where they are.
+    fn held_of_cancelled(&self) -> BTreeMap<&JobId, BTreeSet<u32>> {
+        let mut tasks: BTreeMap<&JobId, BTreeSet<u32>> = BTreeMap::new();
+        let on_machines = self.machines.values().flat_map(|machine| &machine.on);
+        for ((task, _), held) in on_machines {
+            if held.forget && !held.exited() && held.room.is_some() {
+                tasks.entry(&task.job).or_default().insert(task.index);
+            }
+        }
+        tasks
+    }
+}
+
 /// 0 means no limit.
 pub fn within(used: f64, limit: f64) -> bool {
     limit == 0.0 || used <= limit + EPSILON
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -1,12 +1,15 @@
 //! A round of placement: which waiting tasks start where, in what order.
 
 use super::Time;
+use super::io::Io;
 use super::jobs::Job;
 use super::machines::Machine;
 use super::owner::Owner;
 use super::placement::{Candidate, Late, Room, best_fit};
 use super::preempt;
+use super::quota::Usage;
 use super::supply::Catalog;
+use super::view::View;
 use crate::config::{Config, TeamLimits};
 use crate::ids::{Image, JobId, MachineId, TypeName, Zone};
 use crate::wire::{JobSpec, Kind, Priority};
@@ -101,8 +104,7 @@
     }
 
     /// Jobs with tasks that wait, in the order in which they are served.
-    pub(super) fn queue(&self, now: Time) -> Vec<JobId> {
-        let usage = self.usage();
+    pub(super) fn queue(&self, usage: &Usage, now: Time) -> Vec<JobId> {
         let mut queue: Vec<(Rank, Time, &JobId)> = Vec::new();
         for (id, job) in &self.jobs {
             let zoned = job.spec.spread || job.spec.one_zone || job.is_gang();
@@ -128,13 +130,14 @@
         queue.into_iter().map(|(_, _, id)| id.clone()).collect()
     }
 
-    pub(super) fn schedule(&mut self, catalog: &Catalog, now: Time) {
+    pub(super) fn schedule(&mut self, io: &Io, view: &View, catalog: &Catalog) {
+        let now = io.now;
         let mut slots = self.slots(now);
         self.hold_warm(&mut slots, catalog, now);
         let expecting = self.expects_machines(now);
-        let mut usage = self.usage();
+        let mut usage = self.usage(view, io.wall_ms);
         let mut starts = 0;
-        for id in self.queue(now) {
+        for id in self.queue(&usage, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             let Some(limits) = limits(&self.config, &job.spec).cloned() else { continue };
             let need = job.need();
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -8,9 +8,9 @@
 use super::jobs::zone_allows;
 use super::owner::Owner;
 use super::placement::Room;
-use super::quota::within;
+use super::quota::{Usage, within};
 use super::schedule::{allowed, limits};
-use super::view::{LEADER_KEY, TYPES_KEY, guard, put};
+use super::view::{LEADER_KEY, TYPES_KEY, View, guard, put};
 use super::{CloudCall, CloudReply, Core, StateCall, Time};
 use crate::config::Config;
 use crate::ids::{Image, MachineId, Team, Term, TypeName, Zone};
@@ -284,14 +284,15 @@
 
 impl Owner {
     /// Tells what this share lacks and can spare, once a second.
-    pub(super) fn plan_when_due(&mut self, io: &Io, catalog: &Catalog) {
+    pub(super) fn plan_when_due(&mut self, io: &Io, view: &View, catalog: &Catalog) {
         let now = io.now;
         if now < self.next_plan || !catalog.known() {
             return;
         }
         self.next_plan = now + self.config.deployment.workers.lease_s / 10.0;
         let mut need = Need::default();
-        self.plan(catalog, now, &mut need);
+        let usage = self.usage(view, io.wall_ms);
+        self.plan(catalog, usage, now, &mut need);
         let lease = self.config.deployment.workers.lease_s;
         let lag = self.config.deployment.cloud.list_lag_s;
         for machine in self.machines.values().filter(|machine| machine.mine) {
@@ -306,14 +307,14 @@
         self.need = need;
     }
 
-    fn plan(&mut self, catalog: &Catalog, now: Time, need: &mut Need) {
+    fn plan(&mut self, catalog: &Catalog, usage: Usage, now: Time, need: &mut Need) {
         let types = catalog.types();
         let mut bins = self.bins(now);
         let mut in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
         for bin in &bins {
             *in_zone.entry(bin.offer.1.clone()).or_default() += 1;
         }
-        for wanted in self.demand(types, now) {
+        for wanted in self.demand(types, usage, now) {
             let Wanted { spec, count, zones: mut per_zone, urgency } = wanted;
             let waits = urgency.is_some();
             let one = Room::of(&spec);
@@ -401,10 +402,9 @@
     }
 
     /// What waits, and what is likely to arrive before a machine rented now could serve it.
-    fn demand(&self, types: &[MachineType], now: Time) -> Vec<Wanted> {
+    fn demand(&self, types: &[MachineType], mut usage: Usage, now: Time) -> Vec<Wanted> {
         let mut demand = Vec::new();
-        let mut usage = self.usage();
-        for id in self.queue(now) {
+        for id in self.queue(&usage, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             let Some(limits) = limits(&self.config, &job.spec) else { continue };
             let mut count = 0;
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -3,6 +3,7 @@
 //! linearizable: an answer given after a sync that was sent after the question is up to date,
 //! and one sync serves every question that waits.
 
+use super::cancelled::{CancelledJobs, Since};
 use super::dependencies::{Dependencies, Urgency};
 use super::io::Pending;
 use super::part_map::{MapChunk, Owners};
@@ -166,6 +167,7 @@
     dependencies: Dependencies,
     /// Jobs by the version of their final state.
     finals: BTreeSet<(Version, JobId)>,
+    cancelled: CancelledJobs,
     /// Every final state up to here is known: from our own syncs, or a sibling told.
     finals_known: Version,
     revision: Version,
@@ -208,6 +210,7 @@
             changed: BTreeSet::new(),
             dependencies: Dependencies::default(),
             finals: BTreeSet::new(),
+            cancelled: CancelledJobs::default(),
             finals_known: 0,
             revision: 0,
             removed: BTreeMap::new(),
@@ -362,6 +365,7 @@
         }
         if record.is_final() {
             self.finals.insert((version, id.clone()));
+            self.cancelled.take(&id, &record, version);
         }
         let jobs = &self.jobs;
         let job = |id: &JobId| jobs.get(id).map(|job| &*job.record);
@@ -415,9 +419,22 @@
         finals
     }
 
-    /// Final states, newest first.
-    pub fn newest_finals(&self) -> impl Iterator<Item = &Versioned<Rc<JobRecord>>> {
-        self.finals.iter().rev().filter_map(|(_, id)| self.jobs.get(id))
+    /// Cancelled jobs that may still have tasks on machines.
+    pub fn cancelled_since(&self, since: Since) -> impl Iterator<Item = (&JobId, &Leaving)> {
+        self.cancelled.since(since).into_iter().filter_map(|id| {
+            let record = &self.jobs.get(id)?.record;
+            Some((id, record.leaving.as_ref()?))
+        })
+    }
+
+    /// Whether a job may have been cancelled since then of which it is not known whose it was. One
+    /// whose time is not recorded is older than that if a later record is.
+    pub fn undescribed_cancellation_since(&self, since: Since) -> bool {
+        let Some(newest) = self.cancelled.newest_undescribed() else { return false };
+        let later = self.finals.range((newest + 1, JobId::from(""))..);
+        let ended_ms = |id: &JobId| self.jobs.get(id).and_then(|job| job.record.ended_ms);
+        let mut ended = later.filter_map(|(_, id)| ended_ms(id));
+        newest > since.version || !ended.any(|at| at < since.wall_ms)
     }
 
     /// Takes up what a sibling knows of final states.
