--- /dev/null
+++ b/src/core/catalog.rs
@@ -0,0 +1,117 @@
+//! The machine types that the cloud offers, and which submissions can never run on any of them.
+
+use super::desk::least_need;
+use super::io::Pending;
+use super::placement::Room;
+use super::quota::within;
+use super::schedule::limits;
+use super::view::{LEADER_KEY, TYPES_KEY, guard, put};
+use super::{CloudCall, CloudReply, Core, StateCall, Time};
+use crate::config::Config;
+use crate::ids::TypeName;
+use crate::wire::{JobSpec, MachineType, MachineTypes, Transaction};
+
+/// The machine types, known to every controller.
+#[derive(Default)]
+pub struct Catalog {
+    types: Vec<MachineType>,
+    next: Time,
+    asking: bool,
+    /// Not to be stored again before this.
+    next_store: Time,
+}
+
+impl Catalog {
+    pub fn known(&self) -> bool {
+        !self.types.is_empty()
+    }
+
+    pub fn types(&self) -> &[MachineType] {
+        &self.types
+    }
+
+    pub fn boot_s(&self, name: &TypeName) -> Time {
+        self.types.iter().find(|t| t.name == *name).map_or(60.0, |t| t.boot_s.max(1.0))
+    }
+
+    pub fn price(&self, name: &TypeName, spot: bool) -> f64 {
+        let of_type = self.types.iter().find(|t| t.name == *name);
+        of_type.map_or(0.0, |t| if spot { t.spot_price } else { t.price })
+    }
+
+    /// Whether a submission can never run; None while that cannot be told.
+    pub fn refusal(&self, config: &Config, spec: &JobSpec) -> Option<bool> {
+        if !self.known() {
+            return None;
+        }
+        let Some(limits) = limits(config, spec) else { return Some(true) };
+        let (cpus, gpus) = least_need(spec);
+        let need = Room::of(spec);
+        let fits = |t: &MachineType| {
+            spec.types.as_ref().is_none_or(|types| types.contains(&t.name))
+                && total_room(t).holds(&need)
+        };
+        let allowed = within(cpus, limits.cpus_max) && within(gpus, limits.gpus_max);
+        Some(!allowed || !self.types.iter().any(fits))
+    }
+}
+
+/// All that a machine of a type has.
+pub fn total_room(of: &MachineType) -> Room {
+    Room { cpus: of.cpus, gpus: of.gpus, memory_gb: of.memory_gb }
+}
+
+impl Core {
+    /// Every controller knows the machine types; the leader also rents and returns. It keeps them
+    /// in the state service too, so that controllers which start while the cloud is down can
+    /// accept and place.
+    pub(super) fn catalog_when_due(&mut self) {
+        let catalog = &mut self.catalog;
+        if let (false, Some(stored)) = (catalog.known(), self.view.types()) {
+            catalog.types.clone_from(&stored.record.types);
+        }
+        if self.leader.is_some() && catalog.known() && self.io.now >= catalog.next_store {
+            catalog.next_store = self.io.now + self.config.deployment.cloud.list_lag_s.max(1.0);
+            self.store_types();
+        }
+        let catalog = &mut self.catalog;
+        if !catalog.asking
+            && self.io.now >= catalog.next
+            && (!catalog.known() || self.leader.is_some())
+        {
+            catalog.asking = true;
+            self.io.cloud(None, CloudCall::Types);
+        }
+    }
+
+    fn store_types(&mut self) {
+        let Some(leader) = &self.leader else { return };
+        let record = MachineTypes { types: self.catalog.types.clone() };
+        let stored = self.view.types();
+        if stored.is_some_and(|stored| stored.record == record) {
+            return;
+        }
+        let write = put(TYPES_KEY, &record, None);
+        let size = serde_json::to_string(&record).map_or(usize::MAX, |text| text.len());
+        if size as f64 > self.config.deployment.state.value_kb * 1024.0 {
+            return tracing::error!("the machine types, {size} bytes, are too large to be stored");
+        }
+        let version = stored.map_or(0, |stored| stored.version);
+        let guards = vec![guard(LEADER_KEY, leader.term), guard(TYPES_KEY, version)];
+        let transaction = Transaction { guards, writes: vec![write.clone()] };
+        self.io.state(Pending::Types(write), StateCall::Commit(transaction));
+    }
+
+    pub(super) fn catalog_reply(&mut self, reply: CloudReply) {
+        let now = self.io.now;
+        let cloud = &self.config.deployment.cloud;
+        self.catalog.asking = false;
+        match reply {
+            CloudReply::Types(types) if !types.types.is_empty() => {
+                self.catalog.types = types.types;
+                self.catalog.next = now + cloud.list_lag_s.max(1.0) * 6.0;
+            }
+            _ => self.catalog.next = now + self.io.jitter(1.5 / cloud.rps),
+        }
+    }
+}
--- a/src/core/gather.rs
+++ b/src/core/gather.rs
@@ -4,11 +4,13 @@
 //! the empty machine serves what needs it whole, or is returned in time. Moving replicas is a drain, which the protocol allows.
 
 use super::Time;
+use super::catalog::Catalog;
+use super::forecast::is_tight;
 use super::jobs::zone_allows;
 use super::machines::{Held, Machine, Phase};
 use super::owner::Owner;
+use super::plan::Bin;
 use super::schedule::allowed;
-use super::supply::{Bin, Catalog, is_tight};
 use crate::ids::{Attempt, JobId, MachineId, TaskId, Zone};
 use crate::wire::{Kind, TaskState};
 use std::collections::BTreeMap;
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -3,12 +3,13 @@
 //! living, and what is rented and returned, is decided in [`super::rebalance`].
 
 use super::authority::{Authority, Process};
+use super::catalog::Catalog;
 use super::io::{Io, Pending};
 use super::part_map::{Owner, PartMap};
 use super::peers::Peers;
 use super::quiet::Quiet;
 use super::rebalance::CloudDesk;
-use super::supply::{Catalog, Need, Offer};
+use super::supply::{Need, Offer};
 use super::view::{LEADER_KEY, View, guard, node_key, put};
 use super::{StateCall, StateReply, Time};
 use crate::config::Config;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,8 +3,10 @@
 
 pub mod authority;
 pub mod cancelled;
+pub mod catalog;
 pub mod dependencies;
 pub mod desk;
+pub mod forecast;
 pub mod gather;
 pub mod io;
 pub mod jobs;
@@ -15,6 +17,7 @@
 pub mod part_map;
 pub mod peers;
 pub mod placement;
+pub mod plan;
 pub mod preempt;
 pub mod quiet;
 pub mod quota;
@@ -194,7 +197,7 @@
     owner: Option<Owner>,
     /// The map and the cloud, while this process leads.
     leader: Option<Leader>,
-    catalog: supply::Catalog,
+    catalog: catalog::Catalog,
     /// What siblings told of machines' images before there was a share.
     hints: owner::Hints,
     quiet: quiet::Quiet,
@@ -213,7 +216,7 @@
             authority: Authority::new(&config, incarnation),
             owner: None,
             leader: None,
-            catalog: supply::Catalog::default(),
+            catalog: catalog::Catalog::default(),
             hints: owner::Hints::new(),
             quiet: quiet::Quiet::default(),
             config,
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -3,13 +3,15 @@
 //! in [`super::tracking`], where they are commanded too.
 
 use super::authority::Process;
+use super::catalog::Catalog;
+use super::forecast::Forecast;
 use super::io::{Io, Pending};
 use super::jobs::{Job, Task};
 use super::machines::{Held, Machine, Phase};
 use super::part_map;
 use super::placement::{Room, Weights};
 use super::quiet::Quiet;
-use super::supply::{Catalog, Forecast, Need, Offer};
+use super::supply::{Need, Offer};
 use super::view::{JobRecord, Leaving, View, guard, job_key, put};
 use super::{StateCall, StateReply, Time};
 use crate::config::Config;
--- /dev/null
+++ b/src/core/plan.rs
@@ -0,0 +1,207 @@
+//! A plan of which tasks fit on the machines there are, and which machines the rest would need.
+//! It is a first-fit estimate for renting and returning machines; what really starts where is
+//! decided in [`super::schedule`].
+
+use super::catalog::total_room;
+use super::jobs::zone_allows;
+use super::placement::Room;
+use super::schedule::allowed;
+use super::supply::{Need, Offer, Want};
+use crate::ids::{MachineId, Zone};
+use crate::wire::{JobSpec, MachineType, Priority};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// Machines wanted at once at most. A share that is to grow several times over must be able to ask
+/// for that at once: each further asking costs its users a boot.
+const WANTS: u32 = 400;
+/// Tasks that a plan has to find room for.
+pub struct Wanted {
+    pub spec: Rc<JobSpec>,
+    pub count: u32,
+    /// Where the job's other tasks are: a plan that put these where the rules will not have them
+    /// would never ask for what they need.
+    pub zones: BTreeMap<Zone, u32>,
+    /// How urgent it is, if it waits; None if it is only expected.
+    pub urgency: Option<Priority>,
+}
+
+/// Somewhere a task could go in a plan.
+pub struct Bin {
+    pub machine: Option<MachineId>,
+    pub offer: Offer,
+    /// Beside what is on it and what is planned there.
+    pub free: Room,
+    pub used: bool,
+    /// To be returned unless nothing else will do.
+    pub emptying: bool,
+    /// Something that waits or is expected goes here.
+    pub planned: bool,
+    /// Something that waits does.
+    pub waited_for: bool,
+}
+
+/// Bins, and what has been put into them so far.
+pub struct Plan<'a> {
+    types: &'a [MachineType],
+    /// What the cloud has none of at present.
+    refused: &'a BTreeSet<Offer>,
+    bins: Vec<Bin>,
+    machines_in_zone: BTreeMap<Zone, u32>,
+}
+
+impl<'a> Plan<'a> {
+    pub fn new(types: &'a [MachineType], refused: &'a BTreeSet<Offer>, bins: Vec<Bin>) -> Self {
+        let mut machines_in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
+        for bin in &bins {
+            *machines_in_zone.entry(bin.offer.1.clone()).or_default() += 1;
+        }
+        Self { types, refused, bins, machines_in_zone }
+    }
+
+    pub fn into_bins(self) -> Vec<Bin> {
+        self.bins
+    }
+
+    /// Finds room for tasks, and adds what they lack to `need`.
+    pub fn serve(&mut self, wanted: Wanted, need: &mut Need) {
+        let Wanted { spec, count, zones: mut tasks_in_zone, urgency } = wanted;
+        let room = Room::of(&spec);
+        if urgency.is_some() {
+            let size = if room.gpus > 0.0 { room.gpus } else { room.cpus };
+            need.queued += size * f64::from(count);
+        }
+        for _ in 0..count {
+            // A job of 100,000 tasks is no reason to want thousands of machines.
+            if need.wanted() >= WANTS {
+                return;
+            }
+            let open = |zone: &Zone| zone_allows(&spec, zone, &tasks_in_zone);
+            let zone = match self.best_bin(&spec, &room, &open) {
+                Some(bin) => {
+                    bin.free = bin.free.less(&room);
+                    bin.used = true;
+                    bin.planned = true;
+                    bin.waited_for |= urgency.is_some();
+                    bin.offer.1.clone()
+                }
+                None => {
+                    let wanted_zone = self.want_machine(&spec, &room, &open, urgency, need);
+                    let Some(zone) = wanted_zone else { return };
+                    zone
+                }
+            };
+            *tasks_in_zone.entry(zone).or_default() += 1;
+        }
+    }
+
+    fn best_bin(
+        &mut self,
+        spec: &JobSpec,
+        room: &Room,
+        open: &dyn Fn(&Zone) -> bool,
+    ) -> Option<&mut Bin> {
+        let fits = |bin: &Bin| {
+            bin.free.holds(room)
+                && allowed(spec, &bin.offer.0, &bin.offer.1, bin.offer.2)
+                && open(&bin.offer.1)
+        };
+        let left = |bin: &Bin| (bin.free.gpus - room.gpus, bin.free.cpus - room.cpus);
+        let dear = |bin: &Bin| spec.spot && !bin.offer.2;
+        self.bins.iter_mut().filter(|bin| fits(bin)).min_by(|a, b| {
+            let (a_left, b_left) = (left(a), left(b));
+            (dear(a).cmp(&dear(b)))
+                .then(b.used.cmp(&a.used))
+                .then(a.emptying.cmp(&b.emptying))
+                .then(a_left.0.total_cmp(&b_left.0))
+                .then(a_left.1.total_cmp(&b_left.1))
+        })
+    }
+
+    /// Adds the cheapest machine that would do; the zone it would be in.
+    fn want_machine(
+        &mut self,
+        spec: &JobSpec,
+        room: &Room,
+        open: &dyn Fn(&Zone) -> bool,
+        urgency: Option<Priority>,
+        need: &mut Need,
+    ) -> Option<Zone> {
+        let machines_in_zone = &self.machines_in_zone;
+        let (offer, total) =
+            cheapest(self.types, spec, room, open, machines_in_zone, self.refused)?;
+        let any_of = offers(self.types, spec, room, open);
+        need.want(Want { count: 1, offer: offer.clone(), any_of, urgency, gpus: room.gpus });
+        let zone = offer.1.clone();
+        *self.machines_in_zone.entry(zone.clone()).or_default() += 1;
+        self.bins.push(Bin {
+            machine: None,
+            offer,
+            free: total.less(room),
+            used: true,
+            emptying: false,
+            planned: true,
+            waited_for: urgency.is_some(),
+        });
+        Some(zone)
+    }
+}
+
+/// Every kind of machine that may run the task.
+fn offers(
+    types: &[MachineType],
+    spec: &JobSpec,
+    need: &Room,
+    open: &dyn Fn(&Zone) -> bool,
+) -> Vec<Offer> {
+    let mut offers = Vec::new();
+    for of_type in types.iter().filter(|of_type| total_room(of_type).holds(need)) {
+        for zone in of_type.zones.iter().filter(|zone| open(zone)) {
+            for spot in [false, true] {
+                if allowed(spec, &of_type.name, zone, spot) {
+                    offers.push((of_type.name.clone(), zone.clone(), spot));
+                }
+            }
+        }
+    }
+    offers
+}
+
+/// The offer with the lowest price per task; among equals the zone with the fewest machines.
+fn cheapest(
+    types: &[MachineType],
+    spec: &JobSpec,
+    need: &Room,
+    open: &dyn Fn(&Zone) -> bool,
+    in_zone: &BTreeMap<Zone, u32>,
+    refused: &BTreeSet<Offer>,
+) -> Option<(Offer, Room)> {
+    let mut best: Option<((f64, u32), Offer, Room)> = None;
+    for of_type in types.iter().filter(|of_type| total_room(of_type).holds(need)) {
+        let total = total_room(of_type);
+        let per = |have: f64, need: f64| if need > 0.0 { (have / need).floor() } else { f64::MAX };
+        let tasks = per(total.cpus, need.cpus)
+            .min(per(total.gpus, need.gpus))
+            .min(per(total.memory_gb, need.memory_gb));
+        for zone in of_type.zones.iter().filter(|zone| open(zone)) {
+            for spot in [true, false] {
+                if !allowed(spec, &of_type.name, zone, spot) {
+                    continue;
+                }
+                let offer = (of_type.name.clone(), zone.clone(), spot);
+                if refused.contains(&offer) {
+                    continue;
+                }
+                let price = if spot { of_type.spot_price } else { of_type.price };
+                let key = (price / tasks, in_zone.get(zone).copied().unwrap_or(0));
+                if best.as_ref().is_none_or(|(least, _, _)| key < *least) {
+                    best = Some((key, offer, total));
+                }
+            }
+        }
+    }
+    best.map(|(_, offer, total)| (offer, total))
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/core/rebalance.rs
+++ b/src/core/rebalance.rs
@@ -3,9 +3,10 @@
 //! first, else the one with most free room. What a share wants at once and another can spare does
 //! not wait for that. What nobody can spare is rented; what nobody uses is returned.
 
+use super::catalog::Catalog;
 use super::io::Io;
 use super::leader::Leader;
-use super::supply::{Catalog, Need, Offer, Want};
+use super::supply::{Need, Offer, Want};
 use super::{CloudCall, CloudReply, Time};
 use crate::config::Config;
 use crate::ids::{MachineId, Node, Team, Version};
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -1,6 +1,7 @@
 //! A round of placement: which waiting tasks start where, in what order.
 
 use super::Time;
+use super::catalog::Catalog;
 use super::io::Io;
 use super::jobs::Job;
 use super::machines::Machine;
@@ -8,7 +9,6 @@
 use super::placement::{Candidate, Late, Room, best_fit};
 use super::preempt;
 use super::quota::Usage;
-use super::supply::Catalog;
 use super::view::View;
 use crate::config::{Config, TeamLimits};
 use crate::ids::{Image, JobId, MachineId, TypeName, Zone};
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -5,13 +5,13 @@
 //! deletion was answered, or its lease must have run out since its last answered report.
 
 use super::authority::DRIFT;
+use super::catalog::Catalog;
 use super::io::Io;
 use super::jobs::Task;
 use super::machines::{Freshness, Held, Phase};
 use super::owner::{Owner, describe, describe_leaving};
 use super::placement::Room;
 use super::quiet::Silence;
-use super::supply::Catalog;
 use super::view::View;
 use super::{Answer, Body, Time, WorkerReply};
 use crate::ids::{Attempt, JobId, MachineId, TaskId};
