Machines one boot ahead for jobs about to become ready; pacing after the first 429

Supply: what needs only jobs that run here and are expected to end within a boot is planned in the room that they leave (core/upcoming).

State service: the first 429 holds back syncs, records, progress, the map and the types, for longer with each further one; lease renewals are not held back. A transaction refused with 400 is told from an ended lease and never sent again unchanged: a job's progress waits for its smaller end, the map is written in smaller pieces. Controllers without teams leave their part of the write rate to those with teams: found when 120 jobs on one controller were recorded at a fifth of the rate. The runner counts rates and lowers limits; scenario limits_fall, test renewals_come_first_when_the_rate_is_used_up.

--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -315,6 +315,11 @@
                         self.authority.vouchers.clear();
                     }
                     StateReply::LeaseGone => self.begin_anew("the lease has ended", 0.0),
+                    // Everything else waits for longer than this, so that renewals come first.
+                    StateReply::Busy => {
+                        self.authority.next_renewal =
+                            now + self.io.jitter(self.authority.ttl / 100.0);
+                    }
                     _ => {
                         self.authority.next_renewal =
                             now + self.io.jitter(self.authority.ttl / 12.0);
--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -30,6 +30,12 @@
         &self.types
     }
 
+    /// The state service refuses these types: they are not offered to it again.
+    pub fn not_storable(&mut self) {
+        tracing::error!("the state service refuses the machine types");
+        self.next_store = Time::INFINITY;
+    }
+
     pub fn boot_s(&self, name: &TypeName) -> Time {
         self.types.iter().find(|t| t.name == *name).map_or(60.0, |t| t.boot_s.max(1.0))
     }
@@ -70,7 +76,11 @@
         if let (false, Some(stored)) = (catalog.known(), self.view.types()) {
             catalog.types.clone_from(&stored.record.types);
         }
-        if self.leader.is_some() && catalog.known() && self.io.now >= catalog.next_store {
+        if self.leader.is_some()
+            && catalog.known()
+            && self.io.now >= catalog.next_store
+            && self.io.may_write()
+        {
             catalog.next_store = self.io.now + self.config.deployment.cloud.list_lag_s.max(1.0);
             self.store_types();
         }
@@ -108,6 +118,9 @@
         self.catalog.asking = false;
         match reply {
             CloudReply::Types(types) if !types.types.is_empty() => {
+                if self.catalog.types != types.types {
+                    self.catalog.next_store = self.catalog.next_store.min(now);
+                }
                 self.catalog.types = types.types;
                 self.catalog.next = now + cloud.list_lag_s.max(1.0) * 6.0;
             }
--- a/src/core/dependencies.rs
+++ b/src/core/dependencies.rs
@@ -57,6 +57,11 @@
         self.inherited.get(id)
     }
 
+    /// Unfinished jobs that need this one directly.
+    pub fn dependents(&self, id: &JobId) -> impl Iterator<Item = &JobId> {
+        self.dependents.get(id).into_iter().flatten()
+    }
+
     /// Takes up a record that is new. Jobs that have to be looked at again go to `changed`.
     pub fn take<'a>(
         &mut self,
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -126,7 +126,11 @@
         self.commit(asked, key, 0, write);
     }
 
-    fn commit(&mut self, asked: Asked, key: String, version: Version, write: Write) {
+    fn commit(&mut self, mut asked: Asked, key: String, version: Version, write: Write) {
+        if !self.io.may_write() {
+            asked.not_before = self.io.pacing.resume();
+            return self.desk.waiting.push(asked);
+        }
         let transaction =
             Transaction { guards: vec![guard(&key, version)], writes: vec![write.clone()] };
         let call = DeskCall { asked, write };
--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -4,9 +4,10 @@
 use super::desk::DeskCall;
 use super::leader::MapWrite;
 use super::owner::JobWrite;
+use super::pacing::Pacing;
 use super::peers::{MeshMessage, MeshReply};
 use super::rebalance::CloudWork;
-use super::{Answer, CallId, CloudCall, Effect, RequestId, StateCall, Time};
+use super::{Answer, CallId, CloudCall, Effect, RequestId, StateCall, StateReply, Time};
 use crate::ids::{Attempt, MachineId, Node, TaskId};
 use crate::wire::{DirectOrders, Write};
 use rand::Rng;
@@ -43,6 +44,8 @@
 pub struct Io {
     pub now: Time,
     pub wall_ms: u64,
+    /// Of requests to the state service.
+    pub pacing: Pacing,
     rng: StdRng,
     next_call: u64,
     calls: HashMap<CallId, Pending>,
@@ -50,9 +53,9 @@
 }
 
 impl Io {
-    pub fn new(rng: StdRng) -> Self {
+    pub fn new(rng: StdRng, pacing: Pacing) -> Self {
         let (calls, effects) = (HashMap::new(), Vec::new());
-        Self { now: 0.0, wall_ms: 0, rng, next_call: 0, calls, effects }
+        Self { now: 0.0, wall_ms: 0, pacing, rng, next_call: 0, calls, effects }
     }
 
     pub fn begin(&mut self, now: Time, wall_ms: u64) {
@@ -110,6 +113,23 @@
         self.effects.push(Effect::Mesh(call, node.clone(), message));
     }
 
+    /// Whether requests to the state service that can wait may be sent.
+    pub fn may_write(&self) -> bool {
+        self.pacing.open(self.now)
+    }
+
+    /// The state service has answered: how soon more may be asked of it.
+    pub fn pace(&mut self, reply: &StateReply) {
+        match reply {
+            StateReply::Busy => {
+                let spread = self.jitter(1.0);
+                self.pacing.refused(self.now, spread);
+            }
+            StateReply::Refused | StateReply::Unknown => {}
+            _ => self.pacing.served(self.now),
+        }
+    }
+
     /// `seconds`, give or take a quarter, so that controllers do not act in step.
     pub fn jitter(&mut self, seconds: Time) -> Time {
         seconds * self.rng.random_range(0.75..1.25)
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -49,6 +49,8 @@
     pub dirty: Option<Time>,
     pub write_out: bool,
     pub write_after: Time,
+    /// The state service refused a record of this size: only smaller ones are written.
+    pub refused_bytes: usize,
     /// Some of its tasks have run before: what waits now was lost.
     pub began: bool,
 }
@@ -86,6 +88,7 @@
             dirty: None,
             write_out: false,
             write_after: 0.0,
+            refused_bytes: usize::MAX,
             began: false,
         }
     }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -22,6 +22,9 @@
 /// it stays within the limit on bodies, past which it would be refused for ever.
 const VALUE_BYTES: usize = BODY_LIMIT / 2;
 
+/// Room for one machine and its owner, below which splitting values further helps nothing.
+const LEAST_VALUE_KB: f64 = 0.25;
+
 #[derive(Debug)]
 pub struct MapWrite {
     term: Version,
@@ -38,6 +41,9 @@
     base: BTreeMap<String, Version>,
     /// Terms of this turn's changes.
     terms: BTreeMap<Process, Term>,
+    /// Limits of values and transactions: the settings', less where the state service refused more.
+    value_kb: f64,
+    values_per_write: usize,
     writing: bool,
     next_write: Time,
     /// The map as stored may differ from ours: a write failed or its outcome is unknown.
@@ -62,6 +68,8 @@
             map,
             base: versions(view),
             terms: BTreeMap::new(),
+            value_kb: config.deployment.state.value_kb,
+            values_per_write: config.deployment.state.txn_ops,
             writing: false,
             next_write: now,
             reread: false,
@@ -103,10 +111,10 @@
         let living: BTreeMap<Node, u64> =
             view.nodes().iter().map(|(node, n)| (node.clone(), n.record.incarnation)).collect();
         self.needs.retain(|node, _| living.contains_key(node));
-        if !self.writing && now >= self.next_write && !living.is_empty() {
+        let may_write = !self.writing && now >= self.next_write && io.may_write();
+        if may_write && !living.is_empty() {
             if std::mem::take(&mut self.reread) {
-                let map =
-                    PartMap::new(self.term, view.map(), self.config.deployment.state.value_kb);
+                let map = PartMap::new(self.term, view.map(), self.value_kb);
                 self.map.follow(map);
                 self.base = versions(view);
             }
@@ -283,7 +291,7 @@
     }
 
     fn write(&mut self, io: &mut Io, mut guards: Vec<Guard>) {
-        let values = self.map.take_dirty(self.config.deployment.state.txn_ops, VALUE_BYTES);
+        let values = self.map.take_dirty(self.values_per_write, VALUE_BYTES);
         if values.is_empty() {
             return;
         }
@@ -324,12 +332,32 @@
             // Not knowing what is stored, start again from what the next sync shows. A conflict has
             // changed nothing, and machines whose leases run out may be waiting.
             self.reread = true;
-            let pause = if reply == StateReply::Conflict { 3.0 } else { 12.0 };
-            self.next_write = io.now + io.jitter(pause / self.config.deployment.state.write_rps);
+            let writes = match reply {
+                StateReply::Conflict => 3.0,
+                StateReply::Rejected => {
+                    self.write_less();
+                    50.0
+                }
+                _ => 12.0,
+            };
+            self.next_write = io.now + io.jitter(writes / self.config.deployment.state.write_rps);
         }
     }
 }
 
+impl Leader {
+    /// The same would be refused again.
+    fn write_less(&mut self) {
+        self.value_kb = (self.value_kb * 0.5).max(LEAST_VALUE_KB);
+        self.values_per_write = (self.values_per_write / 2).max(1);
+        tracing::error!(
+            "the state service refuses the map: now up to {} values of {} KiB at once",
+            self.values_per_write,
+            self.value_kb
+        );
+    }
+}
+
 fn versions(view: &View) -> BTreeMap<String, Version> {
     view.map().iter().map(|(key, stored)| (key.clone(), stored.version)).collect()
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod machines;
 pub mod news;
 pub mod owner;
+pub mod pacing;
 pub mod part_map;
 pub mod peers;
 pub mod placement;
@@ -26,6 +27,7 @@
 pub mod schedule;
 pub mod supply;
 pub mod tracking;
+pub mod upcoming;
 pub mod view;
 
 use crate::config::Config;
@@ -145,6 +147,8 @@
     Done,
     /// The lease has ended.
     LeaseGone,
+    /// The transaction breaks a limit of the service and would be refused again.
+    Rejected,
     /// Over the service's rate; not executed.
     Busy,
     /// Not executed: an outage, or this controller is refused.
@@ -209,7 +213,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let incarnation = rand::Rng::random::<u64>(&mut rng) >> 12;
         Self {
-            io: Io::new(rng),
+            io: Io::new(rng, pacing::Pacing::new(&config)),
             view: View::new(&config),
             desk: Desk::default(),
             peers: Peers::new(&config),
@@ -281,6 +285,7 @@
     }
 
     fn state_reply(&mut self, pending: Pending, reply: StateReply) {
+        self.io.pace(&reply);
         if !matches!(reply, StateReply::Busy | StateReply::Refused | StateReply::Unknown) {
             self.view.state_answered(self.io.now);
         }
@@ -301,11 +306,11 @@
                     leader.map_written(&mut self.io, &mut self.view, write, reply);
                 }
             }
-            Pending::Types(write) => {
-                if let StateReply::Committed(version) = reply {
-                    self.view.apply_write(&write, version);
-                }
-            }
+            Pending::Types(write) => match reply {
+                StateReply::Committed(version) => self.view.apply_write(&write, version),
+                StateReply::Rejected => self.catalog.not_storable(),
+                _ => {}
+            },
             Pending::Orders { .. }
             | Pending::Hello { .. }
             | Pending::Relay { .. }
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -74,6 +74,8 @@
 /// not what is allowed.
 pub type Hints = BTreeMap<MachineId, Vec<(Image, f64)>>;
 
+/// Part of the state service's changes a second that progress and ends of jobs may take.
+const SHARE_OF_WRITES: f64 = 0.75;
 /// Attempt numbers to a term of a team.
 const ATTEMPTS: u64 = 1 << 16;
 
@@ -96,10 +98,15 @@
     }
 }
 
+/// Controllers with teams write on their own; together they leave room within the state service's
+/// rate for users' requests and the map.
+fn write_rate(config: &Config, writers: usize) -> f64 {
+    config.deployment.state.write_rps * SHARE_OF_WRITES / writers as f64
+}
+
 impl Owner {
     pub fn new(config: &Rc<Config>, incarnation: u64, hints: Hints, now: Time) -> Self {
-        // Shares write on their own; together they keep within the state service's rate.
-        let rate = config.deployment.state.write_rps * 0.75 / config.controllers() as f64;
+        let rate = write_rate(config, config.controllers());
         Self {
             config: config.clone(),
             incarnation,
@@ -174,6 +181,8 @@
         }
         let now = io.now;
         let owners = view.owners();
+        let with_teams: BTreeSet<&Node> = owners.teams.values().map(|owner| &owner.node).collect();
+        self.writes.rate = write_rate(&self.config, with_teams.len().max(1));
         let mine = |o: &part_map::Owner| o.is(&self.config.node, self.incarnation);
         let sibling = |(node, _): &Process| *node != self.config.node;
         for (id, owner) in &owners.machines {
@@ -296,6 +305,12 @@
         }
     }
 
+    #[cfg(test)]
+    pub fn own_team_for_test(&mut self, team: &str, term: Term) {
+        let owned = OwnedTeam { term, gained: 0, unsettled: BTreeSet::new(), attempts: 0 };
+        self.teams.insert(team.into(), owned);
+    }
+
     pub fn has_machines(&self) -> bool {
         self.machines.values().any(|machine| machine.mine)
     }
@@ -418,6 +433,9 @@
         };
         self.doomed.retain(|id, _| view.job(id).is_some_and(|job| ours(&job.record)));
         for (id, not_before) in &mut self.doomed {
+            if !io.may_write() {
+                return;
+            }
             let Some(job) = view.job(id).filter(|_| now >= *not_before) else { continue };
             if !self.writes.take(now) {
                 return;
@@ -426,7 +444,7 @@
             let mut record = job.record.cancelled(io.wall_ms);
             // What it needs was never done, so it never began.
             record.leaving.iter_mut().for_each(|leaving| leaving.tasks = 0);
-            write_record(io, id, job.version, &record);
+            commit_record(io, id, job.version, put(&job_key(id), &record, None));
         }
     }
 
@@ -491,7 +509,7 @@
         }
         due.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         for (_, _, id) in due {
-            if !self.writes.take(now) {
+            if !io.may_write() {
                 return;
             }
             let Some(job) = self.jobs.get_mut(&id) else { continue };
@@ -502,9 +520,19 @@
                 done.keep_largest(ranges);
                 JobRecord { done, ..(*job.record).clone() }
             };
+            let write = put(&job_key(&id), &record, None);
+            // Accepted when values could be larger: its progress is recorded with its end only.
+            let too_large = !record.is_final() && write.bytes() as f64 > value_limit;
+            if too_large || write.bytes() >= job.refused_bytes {
+                job.dirty = None;
+                continue;
+            }
+            if !self.writes.take(now) {
+                return;
+            }
             job.write_out = true;
             job.dirty = None;
-            write_record(io, &id, job.version, &record);
+            commit_record(io, &id, job.version, write);
         }
     }
 
@@ -533,6 +561,12 @@
                 }
                 self.take_job(view, &id, &record, version, (now, io.wall_ms));
             }
+            StateReply::Rejected => {
+                let bytes = write.bytes();
+                tracing::error!("the state service refuses the record of {id}, {bytes} bytes");
+                job.refused_bytes = job.refused_bytes.min(bytes);
+                job.dirty.get_or_insert(now);
+            }
             other => {
                 // Cancelled meanwhile, or outcome unknown: the view tells before the next try.
                 view.want_sync();
@@ -580,11 +614,9 @@
 }
 
 /// Progress and ends are true whoever records them: the record's version is guard enough.
-fn write_record(io: &mut Io, id: &JobId, version: Version, record: &JobRecord) {
-    let key = job_key(id);
-    let write = put(&key, record, None);
-    let transaction =
-        Transaction { guards: vec![guard(&key, version)], writes: vec![write.clone()] };
+fn commit_record(io: &mut Io, id: &JobId, version: Version, write: Write) {
+    let guards = vec![guard(&job_key(id), version)];
+    let transaction = Transaction { guards, writes: vec![write.clone()] };
     let pending = Pending::Job(JobWrite { job: id.clone(), write });
     io.state(pending, StateCall::Commit(transaction));
 }
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -63,6 +63,14 @@
         self.bins
     }
 
+    /// Room on a machine that will be free by the time of what is served next.
+    pub fn release(&mut self, machine: &MachineId, room: &Room) {
+        let of_machine = |bin: &&mut Bin| bin.machine.as_ref() == Some(machine);
+        if let Some(bin) = self.bins.iter_mut().find(of_machine) {
+            bin.free = bin.free.plus(room);
+        }
+    }
+
     /// Finds room for tasks, and adds what they lack to `need`.
     pub fn serve(&mut self, wanted: Wanted, need: &mut Need) {
         let Wanted { spec, count, zones: mut tasks_in_zone, urgency } = wanted;
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -99,8 +99,7 @@
         }
         self.next_plan = now + self.config.deployment.workers.lease_s / 10.0;
         let mut need = Need::default();
-        let usage = self.usage(view, io.wall_ms);
-        self.plan(catalog, usage, now, &mut need);
+        self.plan(io, view, catalog, &mut need);
         let lease = self.config.deployment.workers.lease_s;
         let lag = self.config.deployment.cloud.list_lag_s;
         for machine in self.machines.values().filter(|machine| machine.mine) {
@@ -115,14 +114,24 @@
         self.need = need;
     }
 
-    fn plan(&mut self, catalog: &Catalog, usage: Usage, now: Time, need: &mut Need) {
+    fn plan(&mut self, io: &Io, view: &View, catalog: &Catalog, need: &mut Need) {
+        let now = io.now;
         let types = catalog.types();
         let mut plan = Plan::new(types, &self.refused, self.bins(now));
-        for wanted in self.demand(types, usage, now) {
+        let mut usage = self.usage(view, io.wall_ms);
+        for wanted in self.demand(types, &mut usage, now) {
+            plan.serve(wanted, need);
+        }
+        let upcoming = self.upcoming(view, usage, longest_boot(types), now);
+        let expects_none = upcoming.wanted.is_empty();
+        for (machine, room) in &upcoming.released {
+            plan.release(machine, room);
+        }
+        for wanted in upcoming.wanted {
             plan.serve(wanted, need);
         }
         let bins = plan.into_bins();
-        if need.wants.is_empty() && need.queued == 0.0 {
+        if need.wants.is_empty() && need.queued == 0.0 && expects_none {
             self.gather(&bins, catalog, now);
         }
         self.spare(&bins, catalog, now, need);
@@ -152,9 +161,9 @@
     }
 
     /// What waits, and what is likely to arrive before a machine rented now could serve it.
-    fn demand(&self, types: &[MachineType], mut usage: Usage, now: Time) -> Vec<Wanted> {
+    fn demand(&self, types: &[MachineType], usage: &mut Usage, now: Time) -> Vec<Wanted> {
         let mut demand = Vec::new();
-        for id in self.queue(&usage, now) {
+        for id in self.queue(usage, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             let Some(limits) = limits(&self.config, &job.spec) else { continue };
             let mut count = 0;
--- /dev/null
+++ b/src/core/upcoming.rs
@@ -0,0 +1,114 @@
+//! Jobs that are about to become ready: everything that they still need runs in this share and is
+//! expected to end soon. Machines for them are looked for one boot time ahead, not earlier, and in
+//! the room that those before them leave behind. A job whose dependencies wait, or run elsewhere,
+//! may be far off, so nothing is rented for it.
+
+use super::Time;
+use super::jobs::Job;
+use super::owner::Owner;
+use super::placement::Room;
+use super::plan::Wanted;
+use super::quota::Usage;
+use super::schedule::limits;
+use super::view::{JobRecord, View};
+use crate::ids::{JobId, MachineId};
+use crate::wire::{JobSpec, Kind, Stance};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// Tasks of one job that are planned ahead at most.
+const PLANNED_AHEAD: u32 = 1000;
+
+/// What will soon be wanted, and the room that will be free by then.
+#[derive(Default)]
+pub struct Upcoming {
+    pub wanted: Vec<Wanted>,
+    pub released: Vec<(MachineId, Room)>,
+}
+
+impl Owner {
+    /// What becomes ready within `horizon` seconds.
+    pub(super) fn upcoming(
+        &self,
+        view: &View,
+        mut usage: Usage,
+        horizon: Time,
+        now: Time,
+    ) -> Upcoming {
+        let ending = self.ending_jobs(now + horizon);
+        let mut wanted = Vec::new();
+        for spec in self.ready_after(view, &ending) {
+            let Some(limits) = limits(&self.config, &spec) else { continue };
+            let mut count = 0;
+            while count < spec.tasks.min(PLANNED_AHEAD)
+                && usage.allows(limits, spec.cpus, spec.gpus)
+            {
+                usage.add(&limits.name, spec.cpus, spec.gpus);
+                count += 1;
+            }
+            wanted.push(Wanted { spec, count, zones: BTreeMap::new(), urgency: None });
+        }
+        if wanted.is_empty() {
+            return Upcoming::default();
+        }
+        Upcoming { wanted, released: self.room_of(&ending) }
+    }
+
+    /// Jobs all of whose unfinished tasks run and are expected to be done by then.
+    fn ending_jobs(&self, by: Time) -> BTreeSet<&JobId> {
+        let mut last_end: BTreeMap<&JobId, Time> = BTreeMap::new();
+        for ((task, _), held) in self.machines.values().flat_map(|machine| &machine.on) {
+            if held.exited() {
+                continue;
+            }
+            if let Some((id, job)) = self.jobs.get_key_value(&task.job) {
+                let began = held.began.unwrap_or(Time::INFINITY);
+                let end = last_end.entry(id).or_insert(Time::NEG_INFINITY);
+                *end = end.max(began + job.spec.estimate_s);
+            }
+        }
+        let ends = |id: &JobId, job: &Job| {
+            job.spec.kind != Kind::Service
+                && job.waiting().is_empty()
+                && job.unsettled() == 0
+                && last_end.get(id).is_none_or(|end| *end <= by)
+        };
+        self.jobs.iter().filter(|(id, job)| ends(id, job)).map(|(id, _)| id).collect()
+    }
+
+    /// Jobs of our teams that need nothing but what is done or in `ending`.
+    fn ready_after(&self, view: &View, ending: &BTreeSet<&JobId>) -> Vec<Rc<JobSpec>> {
+        let done = |id: &JobId| view.job(id).is_some_and(|job| job.record.stance == Stance::Done);
+        let dependents: BTreeSet<&JobId> =
+            ending.iter().flat_map(|id| view.dependents(id)).collect();
+        let mut specs = Vec::new();
+        for id in dependents {
+            let Some(job) = view.job(id).filter(|_| !view.doomed(id)) else { continue };
+            let record: &JobRecord = &job.record;
+            let Some(spec) = record.spec.as_ref().filter(|_| !record.is_final()) else { continue };
+            let ready = spec.dependencies.iter().all(|id| done(id) || ending.contains(id));
+            if ready && self.teams.contains_key(&spec.team) {
+                specs.push(spec.clone());
+            }
+        }
+        specs
+    }
+
+    fn room_of(&self, jobs: &BTreeSet<&JobId>) -> Vec<(MachineId, Room)> {
+        let mut released = Vec::new();
+        for machine in self.machines.values() {
+            let held = machine.on.iter().filter(|((task, _), held)| {
+                !held.exited() && held.stop.is_none() && jobs.contains(&task.job)
+            });
+            let rooms = held.filter_map(|(_, held)| held.room);
+            let sum = rooms.fold(Room::default(), |sum, room| sum.plus(&room));
+            if sum != Room::default() {
+                released.push((machine.id.clone(), sum));
+            }
+        }
+        released
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/upcoming/tests.rs
@@ -0,0 +1,107 @@
+use super::super::io::Io;
+use super::super::machines::{Held, Machine, Phase};
+use super::super::owner::{Hints, describe};
+use super::super::view::{job_key, put};
+use super::*;
+use crate::config::Config;
+use crate::ids::{Attempt, TaskId, Term, Version};
+use crate::wire::TaskState;
+use rand::SeedableRng;
+
+const BOOT_S: Time = 30.0;
+
+fn record(id: u32, tasks: u32, needs: &[u32]) -> (JobId, JobRecord) {
+    let mut spec = serde_json::json!({"c": "batch", "t": "red", "k": "sweep", "p": "standard",
+        "n": tasks, "cpu": 1.0, "gpu": 0.0, "mem": 1.0, "img": "i", "igb": 1.0, "est": 40.0,
+        "ck": 0.0, "sv": 0.0});
+    let needs: Vec<String> = needs.iter().map(|id| format!("{id:06}")).collect();
+    spec["aw"] = needs.join(" ").into();
+    let stored = serde_json::json!({"s": "pending", "at": 0, "n": tasks, "j": spec});
+    (JobId::from(format!("req-{id:06}")), serde_json::from_value(stored).unwrap())
+}
+
+struct Share {
+    owner: Owner,
+    io: Io,
+    view: View,
+}
+
+impl Share {
+    fn new() -> Self {
+        let config = Rc::new(Config::parse(crate::config::TEST_SETTINGS).unwrap());
+        let mut owner = Owner::new(&config, 1, Hints::new(), 0.0);
+        owner.own_team_for_test("red", Term(9));
+        let mut machine = Machine::named("m-1".into(), Term(9), 0.0);
+        machine.mine = true;
+        owner.machines.insert("m-1".into(), machine);
+        let rng = rand::rngs::StdRng::seed_from_u64(1);
+        let io = Io::new(rng, crate::core::pacing::Pacing::new(&config));
+        Self { owner, io, view: View::new(&config) }
+    }
+
+    fn accept(&mut self, (id, record): (JobId, JobRecord), version: Version) {
+        self.view.apply_write(&put(&job_key(&id), &record, None), version);
+        if record.spec.as_ref().is_some_and(|spec| spec.dependencies.is_empty()) {
+            let spec = record.spec.clone().unwrap();
+            let job = Job::new(spec, Rc::new(record), version, 0.0, true);
+            self.owner.jobs.insert(id, job);
+        }
+    }
+
+    /// A task runs since `began`, or fetches its image if that is None.
+    fn run(&mut self, id: u32, index: u32, began: Option<Time>) {
+        let id = JobId::from(format!("req-{id:06}"));
+        let job = self.owner.jobs.get_mut(&id).unwrap();
+        let mut held = Held::new(0.0);
+        describe(&mut held, &job.spec);
+        held.phase = Phase::Seen(TaskState::Running);
+        held.began = began;
+        job.set(index, super::super::jobs::Task::Placed("m-1".into(), Attempt(1)), None);
+        let machine = self.owner.machines.get_mut(&MachineId::from("m-1")).unwrap();
+        machine.on.insert((TaskId { job: id, index }, Attempt(1)), held);
+    }
+
+    fn upcoming(&mut self, now: Time) -> Upcoming {
+        self.io.begin(now, 0);
+        self.owner.upcoming(&self.view, Usage::default(), BOOT_S, now)
+    }
+}
+
+/// One boot time ahead of the expected end of all that a job needs, and not earlier.
+#[test]
+fn what_comes_next_is_planned_one_boot_ahead() {
+    let mut share = Share::new();
+    share.accept(record(1, 2, &[]), 1);
+    share.accept(record(2, 1, &[]), 2);
+    share.accept(record(3, 5, &[1, 2]), 3);
+    share.accept(record(4, 7, &[3]), 4);
+    share.run(1, 0, Some(0.0));
+    assert!(share.upcoming(20.0).wanted.is_empty(), "a task of it waits");
+    share.run(1, 1, None);
+    share.run(2, 0, Some(0.0));
+    assert!(share.upcoming(20.0).wanted.is_empty(), "a task of it fetches its image");
+    share.run(1, 1, Some(8.0));
+    assert!(share.upcoming(17.0).wanted.is_empty(), "more than a boot away");
+    let upcoming = share.upcoming(18.0);
+    assert_eq!(upcoming.wanted.len(), 1, "not what comes after that");
+    assert_eq!(upcoming.wanted[0].count, 5);
+    assert_eq!(upcoming.released[0].1.cpus, 3.0, "in the room that is left behind");
+}
+
+/// Nothing is planned for what will not come, or is another share's to wait for.
+#[test]
+fn what_may_not_come_is_not_planned() {
+    let mut share = Share::new();
+    share.accept(record(1, 1, &[]), 1);
+    share.accept(record(2, 1, &[]), 2);
+    share.accept(record(3, 5, &[1, 2]), 3);
+    share.run(1, 0, Some(0.0));
+    share.run(2, 0, Some(0.0));
+    assert_eq!(share.upcoming(20.0).wanted.len(), 1);
+    let elsewhere = share.owner.jobs.remove(&JobId::from("req-000002"));
+    assert!(share.upcoming(20.0).wanted.is_empty(), "runs in another share");
+    share.owner.jobs.insert("req-000002".into(), elsewhere.unwrap());
+    let (id, cancelled) = record(2, 1, &[]);
+    share.accept((id, cancelled.cancelled(1)), 5);
+    assert!(share.upcoming(20.0).wanted.is_empty(), "cancelled with what it needs");
+}
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -384,6 +384,11 @@
         self.dependencies.inherited(id)
     }
 
+    /// Unfinished jobs that need this one directly.
+    pub fn dependents(&self, id: &JobId) -> impl Iterator<Item = &JobId> {
+        self.dependencies.dependents(id)
+    }
+
     /// When the last of a job's dependencies was done, by the time of day: None while one is not.
     pub fn ready_ms(&self, record: &JobRecord) -> Option<u64> {
         let needed = record.spec.iter().flat_map(|spec| &spec.dependencies);
@@ -508,7 +513,7 @@
     pub(super) fn sync_when_due(&mut self) {
         let view = &mut self.view;
         let now = self.io.now;
-        if view.in_flight || now < view.next_sync {
+        if view.in_flight || now < view.next_sync || !self.io.may_write() {
             return;
         }
         if !view.wanted && view.listing.is_none() && now < view.next_sync + view.interval {
--- a/src/state_client.rs
+++ b/src/state_client.rs
@@ -62,8 +62,9 @@
         (200, StateCall::Commit(_)) => decode::<Revision>(body)
             .map_or(StateReply::Unknown, |answer| StateReply::Committed(answer.revision)),
         (409, StateCall::Commit(_)) => StateReply::Conflict,
-        // A write under a lease that has ended.
-        (400, StateCall::Commit(_)) => StateReply::LeaseGone,
+        // The service names a lease that has ended and a broken limit alike.
+        (400, StateCall::Commit(transaction)) if transaction.has_lease() => StateReply::LeaseGone,
+        (400, StateCall::Commit(_)) => StateReply::Rejected,
         (200, StateCall::LeaseCreate { .. }) => decode::<LeaseId>(body)
             .map_or(StateReply::Unknown, |answer| StateReply::Lease(answer.lease)),
         (200 | 204, StateCall::LeaseRenew { .. } | StateCall::LeaseEnd { .. }) => StateReply::Done,
@@ -74,3 +75,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -508,6 +508,13 @@
     pub writes: Vec<Write>,
 }
 
+impl Transaction {
+    /// Whether it writes a key that hangs on a lease.
+    pub fn has_lease(&self) -> bool {
+        self.writes.iter().any(|write| matches!(write, Write::Put { lease: Some(_), .. }))
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Revision {
     #[serde(rename = "ledger")]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,7 @@
 //! Runs every scenario in `tests/scenarios/`, and days of random faults with fixed seeds.
 //!
 //! A scenario is a text file of lines: `seed N`, `controllers N`, `limits VALUE_KB TXN_OPS`,
+//! `next_limits VALUE_KB TXN_OPS RPS WRITE_RPS` (told in the settings, in force from `at T limits_fall`),
 //! `old` (all controllers begin with the version before), `machines N`, `spot N`, `at T WHAT …`, `until T`. `at T expect JOB running` makes sure that troubles meet.
 //! All rules are checked as things happen; in the end everything asked for must be served.
 
@@ -75,6 +76,11 @@
             Some(("run", s)) => run_s = number(Some(&s)),
             Some(("gpus", n)) => job.gpus = number(Some(&n)),
             Some(("image", name)) => job.image = name.into(),
+            // Names of types that there are none of, which make the job's record large.
+            Some(("types", count)) => {
+                let names = (0..number(Some(&count)) as u32).map(|n| format!("type-{n:04}").into());
+                job.types = Some(std::iter::once("g8".into()).chain(names).collect());
+            }
             Some(("team", name)) => job.team = name.into(),
             Some(("due", s)) => job.deadline_s = Some(number(Some(&s))),
             // Jobs are named in the order of the scenario's lines.
@@ -185,7 +191,15 @@
             "seed" | "controllers" => {}
             "limits" => {
                 let (value_kb, txn_ops) = (number(words.get(1)), number(words.get(2)) as usize);
-                world.limits = Limits { value_kb, txn_ops };
+                world.limits = Limits { value_kb, txn_ops, ..world.limits };
+            }
+            "next_limits" => {
+                world.next_limits = Some(Limits {
+                    value_kb: number(words.get(1)),
+                    txn_ops: number(words.get(2)) as usize,
+                    rps: number(words.get(3)),
+                    write_rps: number(words.get(4)),
+                });
             }
             "old" => world.old = (0..controllers).collect(),
             "machines" => world.add_machines(number(words.get(1)) as usize, false),
@@ -206,6 +220,7 @@
                         let job = jobs[number(words.get(3)) as usize - 1];
                         world.at(at, Event::Expect { job, what: words[4].to_owned() });
                     }
+                    "limits_fall" => world.at(at, Event::LimitsFall),
                     "submit_again" => {
                         let job = jobs[number(words.get(3)) as usize - 1];
                         world.at(at, Event::Submit { job });
@@ -250,6 +265,19 @@
     assert!(failures.is_empty(), "{}", failures.join("\n\n"));
 }
 
+/// The lower limits are felt: requests are refused for the rate, and the leases are kept all the same.
+#[test]
+fn renewals_come_first_when_the_rate_is_used_up() {
+    let mut day = "seed 3\ncontrollers 5\nnext_limits 0.8 2 40 6\nmachines 12\n".to_owned();
+    for job in 1..=120 {
+        day += &format!("at {} job array 1 run=2 gpus=1\n", 20.0 + f64::from(job) / 20.0);
+    }
+    let world = play(&(day + "at 15 limits_fall\nat 18 close_looks 30\nuntil 160\n"));
+    assert!(report("rate", &world).is_none(), "{}", report("rate", &world).unwrap_or_default());
+    assert!(world.work.state_busy > 20, "{:?}", world.work);
+    assert_eq!(world.leaderships(), 1, "the first leader kept its lease");
+}
+
 /// The same inputs, times and seeds give the same day.
 #[test]
 fn a_day_repeats() {
@@ -320,6 +348,7 @@
         state_bytes: world.work.state_bytes - before.state_bytes,
         mesh_bytes: world.work.mesh_bytes - before.mesh_bytes,
         orders: world.work.orders - before.orders,
+        state_busy: world.work.state_busy - before.state_busy,
     }
 }
 
--- /dev/null
+++ b/tests/world/allowance.rs
@@ -0,0 +1,31 @@
+//! The state service's rates of requests and of changes, each with one second's worth of burst.
+
+use super::Limits;
+use ochredrum::core::StateCall;
+
+#[derive(Default)]
+pub struct Allowance {
+    requests: f64,
+    writes: f64,
+    /// When it was last filled up.
+    filled: Option<f64>,
+}
+
+impl Allowance {
+    /// Whether a request is still within the rates; then it is counted.
+    pub fn take(&mut self, now: f64, limits: &Limits, call: &StateCall) -> bool {
+        let passed = self.filled.replace(now).map_or(1.0, |filled| now - filled);
+        self.requests = (self.requests + passed * limits.rps).min(limits.rps);
+        self.writes = (self.writes + passed * limits.write_rps).min(limits.write_rps);
+        let writes = match call {
+            StateCall::Commit(transaction) => transaction.writes.len() as f64,
+            _ => 0.0,
+        };
+        if self.requests < 1.0 || self.writes < writes {
+            return false;
+        }
+        self.requests -= 1.0;
+        self.writes -= writes;
+        true
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,6 +1,7 @@
 //! A small world in virtual time around real [`Core`]s: state service, cloud, workers, users and a
 //! network with faults, all by the published protocol. Every rule is checked as things happen.
 
+mod allowance;
 mod cloud;
 mod faults;
 mod old;
@@ -8,6 +9,7 @@
 mod users;
 mod worker;
 
+use allowance::Allowance;
 use cloud::Cloud;
 use faults::Network;
 use ochredrum::config::Config;
@@ -37,14 +39,29 @@
 const RESTART_S: f64 = 5.0;
 const TICK_S: f64 = 0.05;
 
-/// What the state service takes in one value and in one transaction.
+/// What the state service takes in one value, in one transaction and in a second.
 #[derive(Clone, Copy)]
 pub struct Limits {
     pub value_kb: f64,
     pub txn_ops: usize,
+    pub rps: f64,
+    pub write_rps: f64,
 }
 
-pub fn settings(index: usize, nodes: usize, Limits { value_kb, txn_ops }: Limits) -> String {
+impl Limits {
+    fn settings(&self, section: &str) -> String {
+        let Self { value_kb, txn_ops, rps, write_rps } = self;
+        format!(
+            "[{section}]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\n\
+             value_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n"
+        )
+    }
+}
+
+/// `next`: the limits that will hold later, if this version is told of them.
+pub fn settings(index: usize, nodes: usize, limits: Limits, next: Option<Limits>) -> String {
+    let state = limits.settings("deployment.state");
+    let next = next.map(|next| next.settings("deployment.state.next")).unwrap_or_default();
     let siblings: String = (0..nodes)
         .filter(|other| *other != index)
         .map(|other| {
@@ -82,12 +99,7 @@
 gang_wait_s = {GANG_WAIT_S}
 gang_peer_s = {GANG_PEER_S}
 cancel_s = {CANCEL_S}
-[deployment.state]
-rps = 120.0
-write_rps = 25.0
-value_kb = {value_kb:?}
-txn_ops = {txn_ops}
-[deployment.cloud]
+{state}{next}[deployment.cloud]
 rps = 2.0
 list_lag_s = 5.0
 [deployment.limits]
@@ -179,6 +191,8 @@
         job: usize,
         what: String,
     },
+    /// The state service's next limits hold from now on.
+    LimitsFall,
     AskUnknown,
     UserAnswer {
         job: Option<usize>,
@@ -254,6 +268,10 @@
     pub log: Vec<String>,
     pub work: Work,
     pub limits: Limits,
+    /// The limits that hold from some moment on.
+    pub next_limits: Option<Limits>,
+    /// Requests and changes that the state service takes at this moment.
+    allowance: Allowance,
     /// Controllers of the version before; they come back so until they are upgraded.
     pub old: BTreeSet<usize>,
     /// Since when no trouble is on.
@@ -271,6 +289,8 @@
     pub state_requests: usize,
     /// Written to the state service.
     pub state_bytes: usize,
+    /// Refused because the rate was used up.
+    pub state_busy: usize,
     pub mesh_bytes: usize,
     pub orders: usize,
 }
@@ -301,7 +321,9 @@
             broken: Vec::new(),
             log: Vec::new(),
             work: Work::default(),
-            limits: Limits { value_kb: 4.0, txn_ops: 8 },
+            limits: Limits { value_kb: 4.0, txn_ops: 8, rps: 120.0, write_rps: 25.0 },
+            next_limits: None,
+            allowance: Allowance::default(),
             old: BTreeSet::new(),
             calm_since: 0.0,
             kept: Vec::new(),
@@ -416,6 +438,10 @@
                     self.step(node, held);
                 }
             }
+            Event::LimitsFall => {
+                self.limits = self.next_limits.unwrap_or(self.limits);
+                self.note("the state service lowers its limits".into());
+            }
             Event::Fault(fault) => self.fault(fault),
             Event::FaultEnds(id) => self.net.end(id),
         }
@@ -424,9 +450,9 @@
     // ---- controllers ----
 
     fn restart(&mut self, node: usize) {
-        let Ok(config) = Config::parse(&settings(node, self.nodes.len(), self.limits)) else {
-            panic!("settings of the runner")
-        };
+        let next = self.next_limits.filter(|_| !self.old.contains(&node));
+        let text = settings(node, self.nodes.len(), self.limits, next);
+        let Ok(config) = Config::parse(&text) else { panic!("settings of the runner") };
         let seed = self.rng.random();
         let controller = &mut self.nodes[node];
         if controller.core.is_some() {
@@ -688,8 +714,15 @@
         let reply = if self.net.state_refuses(node) {
             StateReply::Refused
         } else {
-            if let StateCall::Commit(transaction) = &what {
-                self.check_limits(transaction);
+            if !self.allowance.take(self.now, &self.limits, &what) {
+                self.work.state_busy += 1;
+                return self.reply(node, epoch, Who::State, Input::State(call, StateReply::Busy));
+            }
+            if let StateCall::Commit(transaction) = &what
+                && self.over_limits(transaction)
+            {
+                let rejected = Input::State(call, StateReply::Rejected);
+                return self.reply(node, epoch, Who::State, rejected);
             }
             let down_for = self.net.take_outage_end(self.now);
             let map = writes_map(&what);
@@ -705,20 +738,21 @@
         self.reply(node, epoch, Who::State, Input::State(call, reply));
     }
 
-    /// What the real service would refuse for ever.
-    fn check_limits(&mut self, transaction: &Transaction) {
+    /// What the real service would refuse for ever, and so should never be asked.
+    fn over_limits(&mut self, transaction: &Transaction) -> bool {
         let largest = transaction.writes.iter().map(Write::bytes).max().unwrap_or(0);
         let text = serde_json::to_string(transaction).unwrap_or_default();
         let ops = self.limits.txn_ops;
-        if largest as f64 > self.limits.value_kb * 1024.0
+        let over = largest as f64 > self.limits.value_kb * 1024.0
             || transaction.writes.len() > ops
             || transaction.guards.len() > ops * 4
-            || text.len() > ochredrum::wire::BODY_LIMIT
-        {
+            || text.len() > ochredrum::wire::BODY_LIMIT;
+        if over {
             let (writes, guards) = (transaction.writes.len(), transaction.guards.len());
             let what = format!("{writes} writes, {guards} guards, value of {largest} bytes");
             self.breaks("over_limit", what);
         }
+        over
     }
 
     /// Counts a write of the map; whether it is the one at which this fault happens.
@@ -767,6 +801,11 @@
         }
     }
 
+    /// How often a controller has begun to lead.
+    pub fn leaderships(&self) -> usize {
+        self.state.puts_of("ochredrum/leader")
+    }
+
     pub fn starts(&self) -> u64 {
         self.workers.values().map(|w| w.starts).sum::<u64>() + self.users.starts_gone
     }
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -96,6 +96,12 @@
         }
     }
 
+    /// How often a key was written.
+    #[allow(dead_code)] // One of the two test programs that share this file has no use for it.
+    pub fn puts_of(&self, key: &str) -> usize {
+        self.log.iter().filter(|change| change.put.as_deref() == Some(key)).count()
+    }
+
     fn expire(&mut self, now: f64) {
         let ended: Vec<u64> =
             self.leases.iter().filter(|(_, l)| l.ends < now).map(|(id, _)| *id).collect();
