Job records: a module of their own, several jobs in one guarded transaction

Records that are due together go out together within txn_ops and the limit on bodies; after a conflict each goes by itself at once, so none waits for another's. One token bucket serves records and the cloud's rate. Unit tests share what they begin with (test_support).

--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -2,8 +2,8 @@
 
 use super::authority::AuthorityCall;
 use super::desk::DeskCall;
+use super::job_records::RecordWrite;
 use super::leader::MapWrite;
-use super::owner::JobWrite;
 use super::pacing::Pacing;
 use super::peers::{MeshMessage, MeshReply};
 use super::rebalance::CloudWork;
@@ -22,7 +22,7 @@
     },
     Desk(DeskCall),
     Authority(AuthorityCall),
-    Job(JobWrite),
+    Records(Vec<RecordWrite>),
     Map(MapWrite),
     /// The machine types are written.
     Types(Write),
--- /dev/null
+++ b/src/core/job_records.rs
@@ -0,0 +1,219 @@
+//! Records jobs' progress and ends in the state service. Progress and ends are true whoever records
+//! them, so a record's version is guard enough. Jobs that are due together go into one transaction;
+//! if that fails, each is tried again by itself, so that none waits for another's conflict.
+
+use super::io::{Io, Pending};
+use super::jobs::Job;
+use super::machines::Phase;
+use super::owner::Owner;
+use super::view::{JobRecord, View, guard, job_key, put};
+use super::{StateCall, StateReply, Time};
+use crate::config::Config;
+use crate::ids::{JobId, Version};
+use crate::wire::{BODY_LIMIT, Exit, Transaction, Write};
+
+/// Part of the state service's changes a second that progress and ends of jobs may take.
+const SHARE_OF_WRITES: f64 = 0.75;
+/// Bytes that a range of done tasks takes in a record at most.
+const RANGE_BYTES: f64 = 15.0;
+/// Bytes of values that a transaction carries, once reached: with its last value and the guards it
+/// keeps within the limit on bodies.
+const TRANSACTION_BYTES: usize = BODY_LIMIT / 2;
+/// Seconds before another try, when the record has changed meanwhile.
+const CONFLICT_PAUSE: Time = 0.1;
+/// Seconds before another try, when the outcome is unknown or the service refuses.
+const FAILURE_PAUSE: Time = 0.3;
+
+/// A new record of one job.
+#[derive(Debug)]
+pub struct RecordWrite {
+    job: JobId,
+    version: Version,
+    write: Write,
+}
+
+/// Controllers with teams write on their own; together they leave room within the state service's
+/// rate for users' requests and the map.
+pub fn write_rate(config: &Config, writers: usize) -> f64 {
+    config.deployment.state.write_rps * SHARE_OF_WRITES / writers as f64
+}
+
+impl Owner {
+    /// Records completed jobs at once, progress at leisure.
+    pub(super) fn record_progress(&mut self, io: &mut Io) {
+        let mut batch = Vec::new();
+        for id in self.jobs_to_record(io.now) {
+            if !io.may_write() {
+                break;
+            }
+            let Some(write) = self.next_record(&id, io.wall_ms) else { continue };
+            if !self.record_rate.take(io.now) {
+                break;
+            }
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.write_out = true;
+            job.dirty = None;
+            if job.write_alone {
+                commit(io, vec![write]);
+            } else {
+                batch.push(write);
+            }
+        }
+        self.commit_batches(io, batch);
+    }
+
+    /// Jobs with something to record: complete ones first, then those that wait for longest.
+    fn jobs_to_record(&self, now: Time) -> Vec<JobId> {
+        let leisure = self.config.deployment.workers.report_s;
+        let mut due: Vec<(bool, Time, &JobId)> = Vec::new();
+        for (id, job) in &self.jobs {
+            let Some(since) = job.dirty else { continue };
+            if job.write_out || now < job.write_after {
+                continue;
+            }
+            let complete = job.all_done();
+            if complete || now >= since + leisure {
+                due.push((!complete, since, id));
+            }
+        }
+        due.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        due.into_iter().map(|(_, _, id)| id.clone()).collect()
+    }
+
+    /// What is to be recorded of a job; nothing if the state service would refuse it.
+    fn next_record(&mut self, id: &JobId, wall_ms: u64) -> Option<RecordWrite> {
+        let value_limit = self.config.deployment.state.value_kb * 1024.0;
+        let job = self.jobs.get_mut(id)?;
+        let record =
+            if job.all_done() { job.record.done(wall_ms) } else { progress(job, value_limit) };
+        let write = put(&job_key(id), &record, None);
+        let bytes = write.bytes();
+        // Accepted when values could be larger: its progress is recorded with its end only.
+        let too_large = !record.is_final() && bytes as f64 > value_limit;
+        if too_large || bytes >= job.refused_bytes {
+            job.dirty = None;
+            return None;
+        }
+        Some(RecordWrite { job: id.clone(), version: job.version, write })
+    }
+
+    /// Writes down that jobs are cancelled with one that they need. Everybody derives it anyway, so
+    /// it comes after all other writes.
+    pub(super) fn record_doomed(&mut self, io: &mut Io, view: &View) {
+        let now = io.now;
+        let pause = self.config.deployment.workers.report_s;
+        let ours = |record: &JobRecord| {
+            let team = record.spec.as_ref().map(|spec| &spec.team);
+            !record.is_final() && team.is_some_and(|team| self.teams.contains_key(team))
+        };
+        self.doomed.retain(|id, _| view.job(id).is_some_and(|job| ours(&job.record)));
+        let mut batch = Vec::new();
+        for (id, not_before) in &mut self.doomed {
+            if !io.may_write() {
+                break;
+            }
+            let Some(job) = view.job(id).filter(|_| now >= *not_before) else { continue };
+            if !self.record_rate.take(now) {
+                break;
+            }
+            *not_before = now + io.jitter(pause);
+            let mut record = job.record.cancelled(io.wall_ms);
+            // What it needs was never done, so it never began.
+            record.leaving.iter_mut().for_each(|leaving| leaving.tasks = 0);
+            let write = put(&job_key(id), &record, None);
+            batch.push(RecordWrite { job: id.clone(), version: job.version, write });
+        }
+        self.commit_batches(io, batch);
+    }
+
+    fn commit_batches(&self, io: &mut Io, writes: Vec<RecordWrite>) {
+        let most = self.config.deployment.state.txn_ops;
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        for write in writes {
+            bytes += write.write.bytes();
+            batch.push(write);
+            if batch.len() >= most || bytes >= TRANSACTION_BYTES {
+                commit(io, std::mem::take(&mut batch));
+                bytes = 0;
+            }
+        }
+        if !batch.is_empty() {
+            commit(io, batch);
+        }
+    }
+
+    /// The answer to a transaction of records.
+    pub(super) fn records_written(
+        &mut self,
+        io: &mut Io,
+        view: &mut View,
+        writes: Vec<RecordWrite>,
+        reply: StateReply,
+    ) {
+        let together = writes.len() > 1;
+        for RecordWrite { job: id, write, .. } in writes {
+            if let StateReply::Committed(version) = reply {
+                view.apply_write(&write, version);
+            }
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.write_out = false;
+            match reply {
+                StateReply::Committed(_) => self.recorded(io, view, &id),
+                StateReply::Conflict | StateReply::Rejected if together => {
+                    job.write_alone = true;
+                    job.dirty.get_or_insert(io.now);
+                }
+                StateReply::Rejected => {
+                    let bytes = write.bytes();
+                    tracing::error!("the state service refuses the record of {id}, {bytes} bytes");
+                    job.refused_bytes = job.refused_bytes.min(bytes);
+                    job.dirty.get_or_insert(io.now);
+                }
+                ref other => {
+                    // Cancelled meanwhile, or outcome unknown: the view tells before the next try.
+                    view.want_sync();
+                    job.dirty.get_or_insert(io.now);
+                    let conflict = *other == StateReply::Conflict;
+                    let pause = if conflict { CONFLICT_PAUSE } else { FAILURE_PAUSE };
+                    job.write_after = io.now + io.jitter(pause);
+                }
+            }
+        }
+    }
+
+    /// What is recorded as done may be forgotten by its machines.
+    fn recorded(&mut self, io: &Io, view: &View, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.write_alone = false;
+        }
+        let Some(stored) = view.job(id) else { return };
+        let (record, version) = (stored.record.clone(), stored.version);
+        for machine in self.machines.values_mut() {
+            for ((task, _), held) in &mut machine.on {
+                let done = held.phase == Phase::Exited(Exit::Done);
+                held.forget |= task.job == *id && done && record.done.contains(task.index);
+            }
+        }
+        self.take_job(view, id, &record, version, (io.now, io.wall_ms));
+    }
+}
+
+/// The record with as much of the progress as a value holds.
+fn progress(job: &Job, value_limit: f64) -> JobRecord {
+    // The rest of a record keeps within half of the value.
+    let ranges = (value_limit / 2.0 / RANGE_BYTES) as usize;
+    let mut done = job.done.clone();
+    done.keep_largest(ranges.max(1));
+    JobRecord { done, ..(*job.record).clone() }
+}
+
+fn commit(io: &mut Io, records: Vec<RecordWrite>) {
+    let guards = records.iter().map(|record| guard(&job_key(&record.job), record.version));
+    let writes = records.iter().map(|record| record.write.clone());
+    let transaction = Transaction { guards: guards.collect(), writes: writes.collect() };
+    io.state(Pending::Records(records), StateCall::Commit(transaction));
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -49,6 +49,8 @@
     pub dirty: Option<Time>,
     pub write_out: bool,
     pub write_after: Time,
+    /// A transaction with others' records failed: the next write goes by itself.
+    pub write_alone: bool,
     /// The state service refused a record of this size: only smaller ones are written.
     pub refused_bytes: usize,
     /// Some of its tasks have run before: what waits now was lost.
@@ -88,6 +90,7 @@
             dirty: None,
             write_out: false,
             write_after: 0.0,
+            write_alone: false,
             refused_bytes: usize::MAX,
             began: false,
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod forecast;
 pub mod gather;
 pub mod io;
+pub mod job_records;
 pub mod jobs;
 pub mod leader;
 pub mod machines;
@@ -26,6 +27,9 @@
 pub mod rebalance;
 pub mod schedule;
 pub mod supply;
+#[cfg(test)]
+mod test_support;
+pub mod token_bucket;
 pub mod tracking;
 pub mod upcoming;
 pub mod view;
@@ -296,9 +300,9 @@
             }
             Pending::Desk(pending) => self.desk_reply(pending, reply),
             Pending::Authority(pending) => self.authority_reply(pending, reply),
-            Pending::Job(write) => {
+            Pending::Records(writes) => {
                 if let Some(owner) = self.owner.as_mut() {
-                    owner.job_written(&mut self.io, &mut self.view, write, reply);
+                    owner.records_written(&mut self.io, &mut self.view, writes, reply);
                 }
             }
             Pending::Map(write) => {
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -2,30 +2,26 @@
 //! process has registered, dropped when its authority is lost. What the machines tell is followed
 //! in [`super::tracking`], where they are commanded too.
 
+use super::Time;
 use super::authority::Process;
 use super::catalog::Catalog;
 use super::forecast::Forecast;
-use super::io::{Io, Pending};
+use super::io::Io;
+use super::job_records::write_rate;
 use super::jobs::{Job, Task};
 use super::machines::{Held, Machine, Phase};
 use super::part_map;
 use super::placement::{Room, Weights};
 use super::quiet::Quiet;
 use super::supply::{Need, Offer};
-use super::view::{JobRecord, Leaving, View, guard, job_key, put};
-use super::{StateCall, StateReply, Time};
+use super::token_bucket::TokenBucket;
+use super::view::{JobRecord, Leaving, View};
 use crate::config::Config;
 use crate::ids::{Attempt, Image, JobId, MachineId, Node, TaskId, Team, Term, Version};
-use crate::wire::{Exit, JobSpec, Transaction, Write};
+use crate::wire::JobSpec;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-#[derive(Debug)]
-pub struct JobWrite {
-    job: JobId,
-    write: Write,
-}
-
 /// A team this share owns.
 pub struct OwnedTeam {
     term: Term,
@@ -41,7 +37,7 @@
     pub(super) incarnation: u64,
     pub(super) jobs: BTreeMap<JobId, Job>,
     /// Jobs that need a cancelled one, and when to write that down.
-    doomed: BTreeMap<JobId, Time>,
+    pub(super) doomed: BTreeMap<JobId, Time>,
     /// Our machines, and others' as far as tasks of our teams may be on them.
     pub(super) machines: BTreeMap<MachineId, Machine>,
     pub(super) teams: BTreeMap<Team, OwnedTeam>,
@@ -51,7 +47,8 @@
     /// Something changed that placement may profit from.
     pub(super) changed: bool,
     scheduled: Time,
-    writes: Budget,
+    /// Of changes in the state service that record jobs.
+    pub(super) record_rate: TokenBucket,
     running: BTreeMap<JobId, (u32, u32)>,
     running_at: Time,
     pub(super) weights: Weights,
@@ -74,36 +71,9 @@
 /// not what is allowed.
 pub type Hints = BTreeMap<MachineId, Vec<(Image, f64)>>;
 
-/// Part of the state service's changes a second that progress and ends of jobs may take.
-const SHARE_OF_WRITES: f64 = 0.75;
 /// Attempt numbers to a term of a team.
 const ATTEMPTS: u64 = 1 << 16;
 
-/// A share of the state service's writes a second, with one second's worth of burst.
-struct Budget {
-    rate: f64,
-    left: f64,
-    at: Time,
-}
-
-impl Budget {
-    fn take(&mut self, now: Time) -> bool {
-        self.left = (self.left + (now - self.at) * self.rate).min(self.rate.max(1.0));
-        self.at = now;
-        if self.left >= 1.0 {
-            self.left -= 1.0;
-            return true;
-        }
-        false
-    }
-}
-
-/// Controllers with teams write on their own; together they leave room within the state service's
-/// rate for users' requests and the map.
-fn write_rate(config: &Config, writers: usize) -> f64 {
-    config.deployment.state.write_rps * SHARE_OF_WRITES / writers as f64
-}
-
 impl Owner {
     pub fn new(config: &Rc<Config>, incarnation: u64, hints: Hints, now: Time) -> Self {
         let rate = write_rate(config, config.controllers());
@@ -118,7 +88,7 @@
             push: BTreeSet::new(),
             changed: true,
             scheduled: now,
-            writes: Budget { rate, left: rate, at: now },
+            record_rate: TokenBucket::new(rate, rate, now),
             running: BTreeMap::new(),
             running_at: Time::NEG_INFINITY,
             weights: Weights::default(),
@@ -175,14 +145,14 @@
     // ---- the share ----
 
     /// Takes up what the map gives this process, and lets go of what it gives to others.
-    fn follow_map(&mut self, io: &mut Io, view: &View, quiet: &Quiet) {
+    pub(super) fn follow_map(&mut self, io: &mut Io, view: &View, quiet: &Quiet) {
         if self.map_seen.replace(view.map_changes()) == Some(view.map_changes()) {
             return;
         }
         let now = io.now;
         let owners = view.owners();
         let with_teams: BTreeSet<&Node> = owners.teams.values().map(|owner| &owner.node).collect();
-        self.writes.rate = write_rate(&self.config, with_teams.len().max(1));
+        self.record_rate.set_rate(write_rate(&self.config, with_teams.len().max(1)));
         let mine = |o: &part_map::Owner| o.is(&self.config.node, self.incarnation);
         let sibling = |(node, _): &Process| *node != self.config.node;
         for (id, owner) in &owners.machines {
@@ -305,12 +275,6 @@
         }
     }
 
-    #[cfg(test)]
-    pub fn own_team_for_test(&mut self, team: &str, term: Term) {
-        let owned = OwnedTeam { term, gained: 0, unsettled: BTreeSet::new(), attempts: 0 };
-        self.teams.insert(team.into(), owned);
-    }
-
     pub fn has_machines(&self) -> bool {
         self.machines.values().any(|machine| machine.mine)
     }
@@ -337,7 +301,7 @@
     // ---- jobs ----
 
     /// A job's record is new or has changed.
-    fn take_job(
+    pub(super) fn take_job(
         &mut self,
         view: &View,
         id: &JobId,
@@ -422,32 +386,6 @@
         }
     }
 
-    /// Writes down that jobs are cancelled with one that they need. Everybody derives it anyway, so
-    /// it comes after all other writes.
-    fn record_doomed(&mut self, io: &mut Io, view: &View) {
-        let now = io.now;
-        let pause = self.config.deployment.workers.report_s;
-        let ours = |record: &JobRecord| {
-            let team = record.spec.as_ref().map(|spec| &spec.team);
-            !record.is_final() && team.is_some_and(|team| self.teams.contains_key(team))
-        };
-        self.doomed.retain(|id, _| view.job(id).is_some_and(|job| ours(&job.record)));
-        for (id, not_before) in &mut self.doomed {
-            if !io.may_write() {
-                return;
-            }
-            let Some(job) = view.job(id).filter(|_| now >= *not_before) else { continue };
-            if !self.writes.take(now) {
-                return;
-            }
-            *not_before = now + io.jitter(pause);
-            let mut record = job.record.cancelled(io.wall_ms);
-            // What it needs was never done, so it never began.
-            record.leaving.iter_mut().for_each(|leaving| leaving.tasks = 0);
-            commit_record(io, id, job.version, put(&job_key(id), &record, None));
-        }
-    }
-
     /// Done or cancelled, and recorded so: its tasks go, and their exits may be forgotten.
     fn job_over(&mut self, id: &JobId) {
         self.changed |= self.jobs.remove(id).is_some();
@@ -489,94 +427,6 @@
         }
     }
 
-    /// Records progress: a completed job at once, the rest at leisure.
-    fn record_progress(&mut self, io: &mut Io) {
-        let now = io.now;
-        let leisure = self.config.deployment.workers.report_s;
-        let value_limit = self.config.deployment.state.value_kb * 1024.0;
-        // A range takes up to 15 bytes; the rest of a record keeps within half of the value.
-        let ranges = ((value_limit / 2.0 / 15.0) as usize).max(1);
-        let mut due: Vec<(bool, Time, JobId)> = Vec::new();
-        for (id, job) in &self.jobs {
-            let Some(since) = job.dirty else { continue };
-            if job.write_out || now < job.write_after {
-                continue;
-            }
-            let complete = job.all_done();
-            if complete || now >= since + leisure {
-                due.push((!complete, since, id.clone()));
-            }
-        }
-        due.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        for (_, _, id) in due {
-            if !io.may_write() {
-                return;
-            }
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
-            let record = if job.all_done() {
-                job.record.done(io.wall_ms)
-            } else {
-                let mut done = job.done.clone();
-                done.keep_largest(ranges);
-                JobRecord { done, ..(*job.record).clone() }
-            };
-            let write = put(&job_key(&id), &record, None);
-            // Accepted when values could be larger: its progress is recorded with its end only.
-            let too_large = !record.is_final() && write.bytes() as f64 > value_limit;
-            if too_large || write.bytes() >= job.refused_bytes {
-                job.dirty = None;
-                continue;
-            }
-            if !self.writes.take(now) {
-                return;
-            }
-            job.write_out = true;
-            job.dirty = None;
-            commit_record(io, &id, job.version, write);
-        }
-    }
-
-    pub(super) fn job_written(
-        &mut self,
-        io: &mut Io,
-        view: &mut View,
-        JobWrite { job: id, write }: JobWrite,
-        reply: StateReply,
-    ) {
-        let now = io.now;
-        if let StateReply::Committed(version) = reply {
-            view.apply_write(&write, version);
-        }
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.write_out = false;
-        match reply {
-            StateReply::Committed(_) => {
-                let Some(stored) = view.job(&id) else { return };
-                let (record, version) = (stored.record.clone(), stored.version);
-                for machine in self.machines.values_mut() {
-                    for ((task, _), held) in &mut machine.on {
-                        let done = held.phase == Phase::Exited(Exit::Done);
-                        held.forget |= task.job == id && done && record.done.contains(task.index);
-                    }
-                }
-                self.take_job(view, &id, &record, version, (now, io.wall_ms));
-            }
-            StateReply::Rejected => {
-                let bytes = write.bytes();
-                tracing::error!("the state service refuses the record of {id}, {bytes} bytes");
-                job.refused_bytes = job.refused_bytes.min(bytes);
-                job.dirty.get_or_insert(now);
-            }
-            other => {
-                // Cancelled meanwhile, or outcome unknown: the view tells before the next try.
-                view.want_sync();
-                job.dirty.get_or_insert(now);
-                let pause = if other == StateReply::Conflict { 0.1 } else { 0.3 };
-                job.write_after = now + io.jitter(pause);
-            }
-        }
-    }
-
     /// A gang's tasks complete together: if one is done, they all are. The others' machines may
     /// be lost before they can say so.
     pub(super) fn gang_done(&mut self, id: &JobId) {
@@ -613,14 +463,6 @@
     }
 }
 
-/// Progress and ends are true whoever records them: the record's version is guard enough.
-fn commit_record(io: &mut Io, id: &JobId, version: Version, write: Write) {
-    let guards = vec![guard(&job_key(id), version)];
-    let transaction = Transaction { guards, writes: vec![write.clone()] };
-    let pending = Pending::Job(JobWrite { job: id.clone(), write });
-    io.state(pending, StateCall::Commit(transaction));
-}
-
 pub(super) fn describe(held: &mut Held, spec: &JobSpec) {
     held.room = Some(Room::of(spec));
     held.team = Some(spec.team.clone());
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -1,44 +1,8 @@
-use super::super::part_map::{MapChunk, Owner as MapOwner, Share};
+use super::super::part_map::{Owner as MapOwner, Share};
 use super::super::quiet::Silence;
-use super::super::view::MAP_PREFIX;
+use super::super::test_support::{map, owner, record, share};
+use super::super::view::{job_key, put};
 use super::*;
-use crate::wire::Stance;
-use rand::SeedableRng;
-
-fn record(done: bool) -> JobRecord {
-    let spec = serde_json::json!({"c": "chat", "t": "red", "k": "standing", "p": "critical",
-        "n": 2, "cpu": 1.0, "gpu": 1.0, "mem": 1.0, "img": "i", "igb": 1.0, "est": 0.0,
-        "ck": 0.0, "sv": 0.0});
-    let mut ranges = super::super::ranges::Ranges::default();
-    if done {
-        ranges.insert(1);
-    }
-    let spec = Some(Rc::new(serde_json::from_value(spec).unwrap()));
-    JobRecord {
-        stance: Stance::Pending,
-        accepted_ms: 0,
-        tasks: 2,
-        done: ranges,
-        spec,
-        ended_ms: None,
-        leaving: None,
-    }
-}
-
-fn share() -> (Owner, Io, View) {
-    let config = Rc::new(Config::parse(crate::config::TEST_SETTINGS).unwrap());
-    let rng = rand::rngs::StdRng::seed_from_u64(1);
-    let io = Io::new(rng, crate::core::pacing::Pacing::new(&config));
-    (Owner::new(&config, 1, Hints::new(), 0.0), io, View::new(&config))
-}
-
-fn map(view: &mut View, version: Version, shares: Vec<Share>) {
-    view.apply_write(&put(&format!("{MAP_PREFIX}m0000"), &MapChunk { shares }, None), version);
-}
-
-fn owner(node: &str) -> MapOwner {
-    MapOwner { node: node.into(), incarnation: 1, term: Term(9), former: None, prior: None }
-}
 
 /// Its owner may have changed without this process having read so; then somebody else answers
 /// it, and its tasks live on (hunted days of a starved controller).
@@ -300,38 +264,3 @@
     view.apply_write(&put(&job_key(&"req-000004".into()), &plain, None), 91);
     assert!(view.undescribed_cancellation_since(since), "since the team was gained");
 }
-
-/// What the state service refuses for its size is not sent again; the end of the job, which is smaller,
-/// still is.
-#[test]
-fn a_record_refused_for_its_size_is_not_written_again_unchanged() {
-    let (mut share, mut io, mut view) = share();
-    let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
-    map(&mut view, 5, vec![mine]);
-    share.follow_map(&mut io, &view, &Quiet::default());
-    let id = JobId::from("req-000001");
-    view.apply_write(&put(&job_key(&id), &record(false), None), 9);
-    share.take_job(&view, &id, &Rc::new(record(false)), 9, (0.0, 0));
-    let done = |share: &mut Owner, index| {
-        let job = share.jobs.get_mut(&id).unwrap();
-        job.set(index, Task::Done, None);
-        job.dirty = Some(0.0);
-    };
-    let write_after = |share: &mut Owner, io: &mut Io, now: Time| {
-        io.begin(now, 0);
-        share.record_progress(io);
-        io.take_effects().pop()
-    };
-    done(&mut share, 0);
-    let Some(crate::core::Effect::State(call, StateCall::Commit(_))) =
-        write_after(&mut share, &mut io, 10.0)
-    else {
-        panic!("progress is recorded")
-    };
-    let Some(Pending::Job(write)) = io.finish(call) else { panic!("it is a job's write") };
-    share.job_written(&mut io, &mut view, write, StateReply::Rejected);
-    assert!(write_after(&mut share, &mut io, 20.0).is_none());
-    assert!(write_after(&mut share, &mut io, 30.0).is_none());
-    done(&mut share, 1);
-    assert!(write_after(&mut share, &mut io, 40.0).is_some(), "the end fits");
-}
--- a/src/core/rebalance.rs
+++ b/src/core/rebalance.rs
@@ -7,6 +7,7 @@
 use super::io::Io;
 use super::leader::Leader;
 use super::supply::{Need, Offer, Want};
+use super::token_bucket::TokenBucket;
 use super::{CloudCall, CloudReply, Time};
 use crate::config::Config;
 use crate::ids::{MachineId, Node, Team, Version};
@@ -62,14 +63,15 @@
     deleted: Vec<MachineId>,
     counter: u64,
     next_plan: Time,
-    budget: f64,
-    budget_at: Time,
+    call_rate: TokenBucket,
     pause_until: Time,
 }
 
 impl CloudDesk {
     pub fn new(config: &Config, now: Time, fresh: bool) -> Self {
         let lag = config.deployment.cloud.list_lag_s;
+        // Some of the rate is left to other controllers and to what a late request may use.
+        let rate = config.deployment.cloud.rps * 0.8;
         Self {
             rent_after: if fresh { now + lag * 0.3 } else { now + lag * 1.2 },
             next_list: now,
@@ -84,8 +86,7 @@
             deleted: Vec::new(),
             counter: 0,
             next_plan: now,
-            budget: 1.0,
-            budget_at: now,
+            call_rate: TokenBucket::new(rate, 1.0, now),
             pause_until: now,
         }
     }
@@ -104,16 +105,8 @@
         self.coming.remove(id).and_then(|coming| coming.node)
     }
 
-    fn may_call(&mut self, now: Time, rps: f64) -> bool {
-        // Some of the rate is left to other controllers and to what a late request may use.
-        let rate = rps * 0.8;
-        self.budget = (self.budget + (now - self.budget_at) * rate).min(rate.max(1.0));
-        self.budget_at = now;
-        if now < self.pause_until || self.budget < 1.0 {
-            return false;
-        }
-        self.budget -= 1.0;
-        true
+    fn may_call(&mut self, now: Time) -> bool {
+        now >= self.pause_until && self.call_rate.take(now)
     }
 }
 
@@ -300,27 +293,26 @@
         living: &BTreeMap<Node, u64>,
     ) {
         let now = io.now;
-        let rps = self.config.deployment.cloud.rps;
         let lag = self.config.deployment.cloud.list_lag_s.max(1.0);
         if now >= self.desk.next_plan && catalog.known() {
             self.desk.next_plan = now + 1.0;
             self.plan(catalog, now, living);
         }
         let desk = &mut self.desk;
-        if !desk.renting && !desk.open.is_empty() && desk.may_call(now, rps) {
+        if !desk.renting && !desk.open.is_empty() && desk.may_call(now) {
             let order = desk.open.remove(0);
             desk.renting = true;
             let rental = order.rental.clone();
             io.cloud(Some(CloudWork::Rent { term: self.term, order }), CloudCall::Rent(rental));
         }
-        if !desk.releasing && !desk.releases.is_empty() && desk.may_call(now, rps) {
+        if !desk.releasing && !desk.releases.is_empty() && desk.may_call(now) {
             let machines: Vec<MachineId> =
                 desk.releases.iter().take(RELEASE_LIMIT).cloned().collect();
             desk.releasing = true;
             let work = CloudWork::Release { term: self.term, machines: machines.clone() };
             io.cloud(Some(work), CloudCall::Release(MachineNames { machines }));
         }
-        if !desk.listing && now >= desk.next_list && desk.may_call(now, rps) {
+        if !desk.listing && now >= desk.next_list && desk.may_call(now) {
             desk.listing = true;
             desk.next_list = now + io.jitter(lag * 0.5);
             let work = CloudWork::List { term: self.term, seen: Vec::new() };
--- a/src/core/upcoming/tests.rs
+++ b/src/core/upcoming/tests.rs
@@ -1,12 +1,13 @@
 use super::super::io::Io;
-use super::super::machines::{Held, Machine, Phase};
-use super::super::owner::{Hints, describe};
+use super::super::machines::{Held, Phase};
+use super::super::owner::describe;
+use super::super::part_map::Share as MapShare;
+use super::super::quiet::Quiet;
+use super::super::test_support::{map, owner as map_owner, share};
 use super::super::view::{job_key, put};
 use super::*;
-use crate::config::Config;
-use crate::ids::{Attempt, TaskId, Term, Version};
+use crate::ids::{Attempt, TaskId, Version};
 use crate::wire::TaskState;
-use rand::SeedableRng;
 
 const BOOT_S: Time = 30.0;
 
@@ -28,15 +29,12 @@
 
 impl Share {
     fn new() -> Self {
-        let config = Rc::new(Config::parse(crate::config::TEST_SETTINGS).unwrap());
-        let mut owner = Owner::new(&config, 1, Hints::new(), 0.0);
-        owner.own_team_for_test("red", Term(9));
-        let mut machine = Machine::named("m-1".into(), Term(9), 0.0);
-        machine.mine = true;
-        owner.machines.insert("m-1".into(), machine);
-        let rng = rand::rngs::StdRng::seed_from_u64(1);
-        let io = Io::new(rng, crate::core::pacing::Pacing::new(&config));
-        Self { owner, io, view: View::new(&config) }
+        let (mut owner, mut io, mut view) = share();
+        let machines = vec!["m-1".into()];
+        let mine = MapShare { owner: map_owner("n0"), teams: vec!["red".into()], machines };
+        map(&mut view, 1, vec![mine]);
+        owner.follow_map(&mut io, &view, &Quiet::default());
+        Self { owner, io, view }
     }
 
     fn accept(&mut self, (id, record): (JobId, JobRecord), version: Version) {
