Reports of a worker that can't reach its machine's owner are relayed

The message is new: an older version refuses it and the worker is sent to the owner as before. A machine is said to be silent after 0.7 instead of 0.5 of a lease, since a worker needs a report time and 5 s to get elsewhere.

--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -37,6 +37,11 @@
     Relay {
         request: RequestId,
     },
+    /// A report that its machine's owner answers.
+    RelayedReport {
+        request: RequestId,
+        owner: Node,
+    },
     Notice,
     Cloud(Option<CloudWork>),
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,6 +25,7 @@
 pub mod quota;
 pub mod ranges;
 pub mod rebalance;
+pub mod report_routing;
 pub mod schedule;
 pub mod supply;
 #[cfg(test)]
@@ -209,6 +210,7 @@
     /// What siblings told of machines' images before there was a share.
     hints: owner::Hints,
     quiet: quiet::Quiet,
+    relays: report_routing::Relays,
 }
 
 impl Core {
@@ -227,6 +229,7 @@
             catalog: catalog::Catalog::default(),
             hints: owner::Hints::new(),
             quiet: quiet::Quiet::default(),
+            relays: report_routing::Relays::new(&config),
             config,
         }
     }
@@ -318,6 +321,7 @@
             Pending::Orders { .. }
             | Pending::Hello { .. }
             | Pending::Relay { .. }
+            | Pending::RelayedReport { .. }
             | Pending::Notice
             | Pending::Cloud(_) => {}
         }
@@ -380,30 +384,4 @@
             });
         }
     }
-
-    /// Answers a worker, or sends it to its machine's owner.
-    fn report(&mut self, request: RequestId, report: Report) {
-        let now = self.io.now;
-        let entitled = self.authority.entitled(now);
-        let owner = self.view.owners().machines.get(&report.machine).map(|o| o.node.clone());
-        if let Some(share) = self.owner.as_mut().filter(|_| entitled)
-            && let Some(answer) =
-                share.checkin(&mut self.io, &self.view, &self.catalog, report.clone())
-        {
-            self.peers.heard_workers(now);
-            return self.io.answer(request, answer);
-        }
-        if owner.is_none()
-            && let Some(leader) = self.leader.as_mut().filter(|_| entitled)
-        {
-            leader.newcomer(&report);
-        }
-        // A machine without an owner is the leader's to place.
-        let to = owner.or_else(|| self.view.leader().map(|leader| leader.record.node.clone()));
-        let to = to.filter(|node| *node != self.config.node);
-        if let Some(node) = &to {
-            self.peers.sent_worker(node, now);
-        }
-        self.io.answer(request, Answer::value(421, crate::wire::report_to(to.as_ref())));
-    }
 }
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -10,7 +10,7 @@
 use super::{Answer, Body, Core, RequestId, Time, UserRequest};
 use crate::config::Config;
 use crate::ids::{JobId, Node, Version};
-use crate::wire::JobSpec;
+use crate::wire::{JobSpec, Report, ReportAnswer};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -23,6 +23,9 @@
     SubmitDependent(JobId, Box<JobSpec>),
     Poll(JobId),
     Cancel(JobId),
+    /// A worker that does not reach its machine's owner. A version that doesn't know this message
+    /// refuses it, and the worker is sent to the owner as before.
+    Report(Box<Report>),
     /// This job was cancelled; saves the leader the wait for its next sync.
     Cancelled(JobId),
 }
@@ -51,8 +54,14 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum MeshReply {
     Hello(HelloReply),
-    Answer { status: u16, body: Option<Value>, retry_after: Option<u32> },
+    Answer {
+        status: u16,
+        body: Option<Value>,
+        retry_after: Option<u32>,
+    },
     Noted,
+    /// Nothing, if the machine is not the receiver's or it may not act.
+    ReportAnswer(Option<ReportAnswer>),
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -134,6 +143,11 @@
         self.peers.values().any(|peer| now - peer.heard < self.recent)
     }
 
+    /// Whether a sibling has answered lately.
+    pub fn hears(&self, node: &Node, now: Time) -> bool {
+        self.peers.get(node).is_some_and(|peer| now - peer.heard < self.recent)
+    }
+
     /// A sibling that can read the state service.
     pub fn with_state(&self, now: Time) -> Option<&Node> {
         let usable = |peer: &Peer| peer.has_state && now - peer.heard < self.recent;
@@ -227,6 +241,7 @@
             }
             MeshMessage::Poll(id) => self.relayed_request(request, UserRequest::Poll(id)),
             MeshMessage::Cancel(id) => self.relayed_request(request, UserRequest::Cancel(id)),
+            MeshMessage::Report(report) => self.relayed_report(request, *report),
             MeshMessage::Cancelled(_) => {
                 self.view.want_sync();
                 self.io.mesh_answer(request, MeshReply::Noted);
@@ -316,6 +331,13 @@
                 let body = body.map_or(Body::Empty, Body::Value);
                 self.io.answer(request, Answer { status, body, retry_after });
             }
+            (Pending::RelayedReport { request, owner }, reply) => {
+                let answer = match reply {
+                    Some(MeshReply::ReportAnswer(answer)) => answer,
+                    _ => None,
+                };
+                self.report_relayed(request, owner, answer);
+            }
             (Pending::Relay { request }, _) => {
                 self.io.answer(request, Answer::unavailable());
             }
--- a/src/core/quiet.rs
+++ b/src/core/quiet.rs
@@ -1,6 +1,6 @@
 //! What is known of machines that their owners do not hear.
 //!
-//! An owner that has not heard a machine for half a lease says so, and from then on does not answer
+//! An owner that has not heard a machine for most of a lease says so, and from then on does not answer
 //! it under the present term any more: should it report again, it first gets a fresh token. So the
 //! time of its last answer is settled for good, and whoever has the machine next can count the
 //! lease from there instead of from the hand-over. The map names the term that came directly
--- /dev/null
+++ b/src/core/report_routing/tests.rs
@@ -0,0 +1,21 @@
+use super::*;
+
+/// A worker that can't reach its owner is relayed, and sent there again now and then.
+#[test]
+fn relaying_is_interrupted_now_and_then_and_bounded() {
+    let config = Config::parse(crate::config::TEST_SETTINGS).unwrap();
+    let lease = config.deployment.workers.lease_s;
+    let mut relays = Relays::new(&config);
+    let machine = MachineId::from("m-1");
+    let mut now = 0.0;
+    while relays.begin(&machine, now) {
+        relays.end();
+        now += 1.0;
+    }
+    assert!((lease * 10.0..lease * 10.0 + 2.0).contains(&now), "once more to the owner: {now}");
+    assert!(relays.begin(&machine, now + 5.0), "which it still does not reach");
+    assert!(relays.begin(&"m-2".into(), now + lease * 3.0));
+    assert_eq!(relays.machines.len(), 1, "the first found its owner long ago");
+    relays.under_way = relays.most;
+    assert!(!relays.begin(&"m-3".into(), now + lease * 3.0));
+}
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -20,8 +20,10 @@
 
 /// Reports that may fail to show a task whose start was in their answers.
 const PATIENCE: u32 = 3;
-/// Part of a lease after which a machine that is not heard is said to be silent.
-const QUIET_LEASE: f64 = 0.5;
+/// Part of a lease after which a machine that is not heard is said to be silent. A worker that does
+/// not reach its owner is with another controller, which relays its reports, before that: after a
+/// report time, 4 s without an answer and a pause of 1 s.
+const QUIET_LEASE: f64 = 0.7;
 /// Leases for which a machine that fails every job is set aside.
 const ASIDE_LEASES: f64 = 20.0;
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -123,6 +123,11 @@
             seconds: number(rest.get(1)),
             hold: rest.get(2) == Some(&"hold"),
         },
+        "machine_cut_from" => Fault::MachineCutFrom {
+            which: number(rest.first()) as usize,
+            node: number(rest.get(1)) as usize,
+            seconds: number(rest.get(2)),
+        },
         "machine_deaf" => Fault::MachineDeaf {
             which: number(rest.first()) as usize,
             seconds: number(rest.get(1)),
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -53,6 +53,12 @@
         seconds: f64,
         hold: bool,
     },
+    /// It and one controller do not reach each other.
+    MachineCutFrom {
+        which: usize,
+        node: usize,
+        seconds: f64,
+    },
     /// Its reports arrive; answers and commands do not reach it.
     MachineDeaf {
         which: usize,
@@ -329,6 +335,12 @@
                     lasting.push((seconds, Kind::Cut { a, b, hold }));
                 }
             }
+            Fault::MachineCutFrom { which, node, seconds } => {
+                if let Some(machine) = self.machine_at(which) {
+                    let (a, b) = (Who::Machine(machine), Who::Node(node));
+                    lasting.push((seconds, Kind::Cut { a, b, hold: false }));
+                }
+            }
             Fault::MachineDeaf { which, seconds } => {
                 if let Some(machine) = self.machine_at(which) {
                     lasting.push((seconds, Kind::Deaf(machine)));
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -28,6 +28,8 @@
     /// When it was last answered.
     answered: f64,
     finished: BTreeSet<u32>,
+    /// Starts of its tasks.
+    begun: u32,
     /// Since when it waits though it could run.
     waits_since: Option<f64>,
 }
@@ -55,6 +57,7 @@
             told_cancelled: None,
             answered: 0.0,
             finished: BTreeSet::new(),
+            begun: 0,
             waits_since: None,
         });
         self.jobs.len() - 1
@@ -74,6 +77,12 @@
         job.map_or(0.0, |j| if j.finished.contains(&task.index) { 0.0 } else { j.run_s })
     }
 
+    pub fn begun(&mut self, task: &TaskId) {
+        if let Some(job) = self.jobs.iter_mut().find(|job| job.id == task.job) {
+            job.begun += 1;
+        }
+    }
+
     pub fn finished(&mut self, task: &TaskId) {
         if let Some(job) = self.jobs.iter_mut().find(|job| job.id == task.job) {
             job.finished.insert(task.index);
@@ -339,6 +348,8 @@
             "done" => user.told_done.is_some(),
             "running" => self.tasks_on(&id) > 0,
             "idle" => self.tasks_on(&id) == 0,
+            // Each of its tasks has begun once at most.
+            "undisturbed" => user.begun <= user.spec.tasks,
             other => panic!("expect {other:?}?"),
         };
         if !met {
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -362,6 +362,7 @@
                         worker.images.push(image);
                     }
                     worker.starts += 1;
+                    self.users.begun(&task);
                     self.check_start(id, &task, attempt);
                 }
                 TaskState::Waiting => {
