Inbox and direct orders are bounded in proportion to the limit on sockets

The inbox is a module of its own. Direct orders over the bound go as others are answered, or with the next report's answer.

--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -54,13 +54,14 @@
     rng: StdRng,
     next_call: u64,
     calls: HashMap<CallId, Pending>,
+    direct_orders: usize,
     effects: Vec<Effect>,
 }
 
 impl Io {
     pub fn new(rng: StdRng, pacing: Pacing) -> Self {
         let (calls, effects) = (HashMap::new(), Vec::new());
-        Self { now: 0.0, wall_ms: 0, pacing, rng, next_call: 0, calls, effects }
+        Self { now: 0.0, wall_ms: 0, pacing, rng, next_call: 0, calls, direct_orders: 0, effects }
     }
 
     pub fn begin(&mut self, now: Time, wall_ms: u64) {
@@ -73,7 +74,16 @@
     }
 
     pub fn finish(&mut self, call: CallId) -> Option<Pending> {
-        self.calls.remove(&call)
+        let pending = self.calls.remove(&call);
+        if let Some(Pending::Orders { .. }) = pending {
+            self.direct_orders -= 1;
+        }
+        pending
+    }
+
+    /// Direct orders to workers that are under way.
+    pub fn direct_orders(&self) -> usize {
+        self.direct_orders
     }
 
     fn call(&mut self, pending: Pending) -> CallId {
@@ -109,6 +119,7 @@
         sent: Vec<(TaskId, Attempt)>,
         orders: DirectOrders,
     ) {
+        self.direct_orders += 1;
         let call = self.call(Pending::Orders { machine: machine.clone(), sent });
         self.effects.push(Effect::Worker(call, address.to_owned(), orders));
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -92,6 +92,16 @@
     MeshReply(CallId, Option<MeshReply>),
 }
 
+impl Input {
+    /// Whether somebody else asks; all else is the reply to a call of this process.
+    pub fn is_question(&self) -> bool {
+        match self {
+            Self::User(..) | Self::Report(..) | Self::Health(_) | Self::Mesh(..) => true,
+            Self::State(..) | Self::Cloud(..) | Self::Worker(..) | Self::MeshReply(..) => false,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub enum Effect {
     Answer(RequestId, Answer),
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -264,3 +264,31 @@
     view.apply_write(&put(&job_key(&"req-000004".into()), &plain, None), 91);
     assert!(view.undescribed_cancellation_since(since), "since the team was gained");
 }
+
+/// Starts on many machines at once do not take all sockets: what is over goes as others are answered.
+#[test]
+fn direct_orders_under_way_are_bounded() {
+    let (mut share, mut io, mut view) = share();
+    let ids: Vec<MachineId> = (0..150).map(|n| MachineId::from(format!("m-{n:03}"))).collect();
+    let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: ids.clone() };
+    map(&mut view, 5, vec![mine]);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    for (index, id) in (0..).zip(&ids) {
+        let machine = share.machines.get_mut(id).unwrap();
+        machine.trusted = true;
+        let task = TaskId { job: "req-000001".into(), index };
+        machine.on.insert((task, Attempt(1)), Held::new(0.0));
+        share.push.insert(id.clone());
+    }
+    share.push_orders(&mut io);
+    let sent = io.take_effects();
+    assert_eq!(sent.len(), 105, "of 700 sockets");
+    share.push_orders(&mut io);
+    assert!(io.take_effects().is_empty());
+    for effect in sent.into_iter().take(20) {
+        let crate::core::Effect::Worker(call, ..) = effect else { panic!("{effect:?}") };
+        assert!(io.finish(call).is_some());
+    }
+    share.push_orders(&mut io);
+    assert_eq!(io.take_effects().len(), 20);
+}
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -24,6 +24,9 @@
 /// not reach its owner is with another controller, which relays its reports, before that: after a
 /// report time, 4 s without an answer and a pause of 1 s.
 const QUIET_LEASE: f64 = 0.7;
+/// Direct orders under way at once at most, as a part of the limit on sockets. What is over goes in
+/// the answers to the next reports, or as soon as others have been answered.
+const ORDERS_PER_SOCKET: f64 = 0.15;
 /// Leases for which a machine that fails every job is set aside.
 const ASIDE_LEASES: f64 = 20.0;
 
@@ -452,7 +455,11 @@
     }
 
     pub(super) fn push_orders(&mut self, io: &mut Io) {
-        for id in std::mem::take(&mut self.push) {
+        let sockets = self.config.deployment.limits.fd_limit as f64;
+        let most = (sockets * ORDERS_PER_SOCKET).ceil() as usize;
+        while io.direct_orders() < most
+            && let Some(id) = self.push.pop_first()
+        {
             let Some(machine) = self.machines.get_mut(&id) else { continue };
             if !machine.mine {
                 self.hurry = true;
--- a/src/front.rs
+++ b/src/front.rs
@@ -3,7 +3,7 @@
 use crate::core::{Answer, Body, UserRequest};
 use crate::http::{self, BodyError, Reply};
 use crate::ids::JobId;
-use crate::service::{Inbox, Question};
+use crate::inbox::{Inbox, Question};
 use crate::wire::{BODY_LIMIT, Report, decode, encode, parse_submission, valid_job_id};
 use bytes::Bytes;
 use hyper::body::Incoming;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod front;
 pub mod http;
 pub mod ids;
+pub mod inbox;
 pub mod mesh;
 pub mod service;
 pub mod state_client;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -2,7 +2,7 @@
 
 use crate::core::peers::{MeshMessage, MeshReply};
 use crate::http::{self, Client, Reply};
-use crate::service::Inbox;
+use crate::inbox::Inbox;
 use hyper::body::Incoming;
 use hyper::{Method, Request};
 use std::rc::Rc;
--- a/src/service.rs
+++ b/src/service.rs
@@ -3,23 +3,21 @@
 
 use crate::cloud_client::CloudClient;
 use crate::config::Config;
-use crate::core::peers::{MeshMessage, MeshReply};
-use crate::core::{Answer, CallId, Core, Effect, Input, RequestId, UserRequest};
+use crate::core::{CallId, Core, Effect, Input};
 use crate::front::MESSAGE_PACK;
 use crate::http::{Bounds, Client};
 use crate::ids::Node;
+use crate::inbox::Inbox;
 use crate::state_client::StateClient;
-use crate::wire::Report;
 use crate::{front, http, mesh, worker_client};
 use rand::TryRngCore;
 use rand::rngs::OsRng;
-use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, timeout};
 
@@ -36,80 +34,6 @@
 /// Inputs worked through in one batch at most.
 const BATCH: usize = 256;
 
-/// What a listener asks the owner of the state.
-pub enum Question {
-    User(UserRequest),
-    Report(Box<Report>),
-    Health,
-}
-
-/// The way to the owner of the state, and back to those who wait.
-pub struct Inbox {
-    queue: mpsc::UnboundedSender<Input>,
-    next: Cell<u64>,
-    waiting: RefCell<HashMap<RequestId, oneshot::Sender<Answer>>>,
-    mesh_waiting: RefCell<HashMap<RequestId, oneshot::Sender<MeshReply>>>,
-    /// Users' requests that may wait at once; more are told at once to come back.
-    limit: usize,
-    users: Cell<usize>,
-    patience: Duration,
-}
-
-impl Inbox {
-    fn next(&self) -> RequestId {
-        self.next.set(self.next.get() + 1);
-        RequestId(self.next.get())
-    }
-
-    pub async fn ask(&self, question: Question) -> Answer {
-        let user = matches!(question, Question::User(_));
-        if user && self.users.get() >= self.limit {
-            return Answer::unavailable();
-        }
-        let request = self.next();
-        let input = match question {
-            Question::User(what) => Input::User(request, what),
-            Question::Report(report) => Input::Report(request, *report),
-            Question::Health => Input::Health(request),
-        };
-        let (sender, receiver) = oneshot::channel();
-        self.waiting.borrow_mut().insert(request, sender);
-        let _left = Leaving { inbox: self, request, user };
-        self.users.set(self.users.get() + usize::from(user));
-        if self.queue.send(input).is_err() {
-            return Answer::unavailable();
-        }
-        match timeout(self.patience, receiver).await {
-            Ok(Ok(answer)) => answer,
-            _ => Answer::unavailable(),
-        }
-    }
-
-    pub async fn ask_mesh(&self, message: MeshMessage) -> Option<MeshReply> {
-        let request = self.next();
-        let (sender, receiver) = oneshot::channel();
-        self.mesh_waiting.borrow_mut().insert(request, sender);
-        let _left = Leaving { inbox: self, request, user: false };
-        self.queue.send(Input::Mesh(request, message)).ok()?;
-        timeout(self.patience, receiver).await.ok()?.ok()
-    }
-}
-
-/// Whoever stops waiting, also by going away, leaves nothing behind.
-struct Leaving<'a> {
-    inbox: &'a Inbox,
-    request: RequestId,
-    user: bool,
-}
-
-impl Drop for Leaving<'_> {
-    fn drop(&mut self) {
-        self.inbox.waiting.borrow_mut().remove(&self.request);
-        self.inbox.mesh_waiting.borrow_mut().remove(&self.request);
-        self.inbox.users.set(self.inbox.users.get() - usize::from(self.user));
-    }
-}
-
 pub fn run(config: Config) -> Result<(), ServiceError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -124,15 +48,7 @@
     let (queue, inputs) = mpsc::unbounded_channel();
     let limits = &config.deployment.limits;
     let lease = Duration::from_secs_f64(config.deployment.workers.lease_s);
-    let inbox = Rc::new(Inbox {
-        queue: queue.clone(),
-        next: Cell::new(0),
-        waiting: RefCell::default(),
-        mesh_waiting: RefCell::default(),
-        limit: (limits.fd_limit / 2).max(8),
-        users: Cell::new(0),
-        patience: Duration::from_secs(3),
-    });
+    let inbox = Rc::new(Inbox::new(queue.clone(), limits.fd_limit));
     // Of the sockets, most are for users and workers, some for siblings, the rest for calls.
     let read = lease / 4;
     let front_bounds = Bounds { connections: limits.fd_limit * 7 / 10, read };
@@ -178,20 +94,12 @@
         if timeout(clients.tick, inputs.recv_many(&mut batch, BATCH)).await == Ok(0) {
             return;
         }
+        inbox.taken(&batch);
         let now = start.elapsed().as_secs_f64();
         for effect in core.step(now, wall_ms(), std::mem::take(&mut batch)) {
             match effect {
-                Effect::Answer(request, answer) => {
-                    if let Some(waiting) = inbox.waiting.borrow_mut().remove(&request) {
-                        // Whoever asked may have gone away.
-                        waiting.send(answer).ok();
-                    }
-                }
-                Effect::MeshAnswer(request, reply) => {
-                    if let Some(waiting) = inbox.mesh_waiting.borrow_mut().remove(&request) {
-                        waiting.send(reply).ok();
-                    }
-                }
+                Effect::Answer(request, answer) => inbox.answer(request, answer),
+                Effect::MeshAnswer(request, reply) => inbox.answer_mesh(request, reply),
                 effect => clients.call(effect),
             }
         }
