--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -171,6 +171,7 @@
         "copies_for_next" => Fault::CopiesForNext { seconds: number(rest.first()) },
         "instant_boots" => Fault::InstantBoots { seconds: number(rest.first()) },
         "close_looks" => Fault::CloseLooks { seconds: number(rest.first()) },
+        "odd_requests" => Fault::OddRequests { seconds: number(rest.first()) },
         "cancel_at_end" => Fault::CancelAtEnd { seconds: number(rest.first()) },
         other => panic!("fault {other:?}?"),
     }
@@ -283,6 +284,15 @@
     assert_eq!(world.leaderships(), 1, "the first leader kept its lease");
 }
 
+/// What odd requests there were, and that cancelled jobs begin nothing beyond what was under way.
+#[test]
+fn odd_requests_come_and_cancelled_jobs_start_nothing_more() {
+    let world = play(include_str!("scenarios/odd_requests.txt"));
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.work.odd_requests > 100, "{:?}", world.work);
+    assert!(world.work.starts_after_cancel <= 8, "{:?}", world.work);
+}
+
 /// The same inputs, times and seeds give the same day.
 #[test]
 fn a_day_repeats() {
@@ -354,6 +364,7 @@
         mesh_bytes: world.work.mesh_bytes - before.mesh_bytes,
         orders: world.work.orders - before.orders,
         state_busy: world.work.state_busy - before.state_busy,
+        ..Default::default()
     }
 }
 
@@ -581,6 +592,9 @@
             day += &format!("at {begins} {fault}\n");
         }
         day += &format!("at {at} close_looks 20\nat {at} cancel_at_end 20\n");
+        if !upgraded {
+            day += &format!("at {at} odd_requests 20\n");
+        }
         if rng.random_bool(0.4) {
             // One controller is refused, others confirm cancellations, then the service is out for all.
             let who = ["leader", "n0", "n1"][rng.random_range(0..3)];
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -119,6 +119,10 @@
     InstantBoots {
         seconds: f64,
     },
+    /// Users send requests that are malformed, impossible or odd in form.
+    OddRequests {
+        seconds: f64,
+    },
     /// Users ask all controllers, and repeat their submissions, right after they were told anything.
     CloseLooks {
         seconds: f64,
@@ -404,6 +408,9 @@
             Fault::LostAnswers { seconds } => lasting.push((seconds, Kind::LostAnswers)),
             Fault::CopiesForNext { seconds } => lasting.push((seconds, Kind::CopiesForNext)),
             Fault::InstantBoots { seconds } => lasting.push((seconds, Kind::InstantBoots)),
+            Fault::OddRequests { seconds } => {
+                self.after(0.0, Event::OddRequest { until: now + seconds });
+            }
             Fault::CloseLooks { seconds } => lasting.push((seconds, Kind::CloseLooks)),
             Fault::CancelAtEnd { seconds } => lasting.push((seconds, Kind::CancelAtEnd)),
         }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 mod allowance;
 mod cloud;
 mod faults;
+mod odd;
 mod old;
 mod state;
 mod users;
@@ -191,6 +192,10 @@
         job: usize,
         what: String,
     },
+    /// Users send odd requests until then.
+    OddRequest {
+        until: f64,
+    },
     /// The state service's next limits hold from now on.
     LimitsFall,
     AskUnknown,
@@ -276,6 +281,8 @@
     pub old: BTreeSet<usize>,
     /// Since when no trouble is on.
     calm_since: f64,
+    /// When a controller last ended.
+    crashed: f64,
     /// Reports kept for the next leader, and who led last.
     kept: Vec<(MachineId, Report)>,
     led: Option<usize>,
@@ -291,6 +298,9 @@
     pub state_bytes: usize,
     /// Refused because the rate was used up.
     pub state_busy: usize,
+    pub odd_requests: usize,
+    /// Starts after their users were told that the job is cancelled.
+    pub starts_after_cancel: usize,
     pub mesh_bytes: usize,
     pub orders: usize,
 }
@@ -326,6 +336,7 @@
             allowance: Allowance::default(),
             old: BTreeSet::new(),
             calm_since: 0.0,
+            crashed: 0.0,
             kept: Vec::new(),
             led: None,
             map_fault: None,
@@ -438,6 +449,7 @@
                     self.step(node, held);
                 }
             }
+            Event::OddRequest { until } => self.odd_request(until),
             Event::LimitsFall => {
                 self.limits = self.next_limits.unwrap_or(self.limits);
                 self.note("the state service lowers its limits".into());
@@ -477,6 +489,7 @@
                     self.after(0.0, Event::UserAnswer { job, ask, asked, answer: None });
                 }
             }
+            self.crashed = self.now;
             self.note(format!("n{node} crashes"));
             self.after(back_after, Event::Restart { node });
         }
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -15,6 +15,8 @@
     /// A poll or a repeat beside the usual ones, which nothing follows.
     Look,
     Repeat,
+    /// An odd request, which must not be accepted.
+    Odd,
 }
 
 struct User {
@@ -40,6 +42,7 @@
 #[derive(Default)]
 pub struct Users {
     jobs: Vec<User>,
+    odd_ids: u32,
     /// Starts on machines that are gone.
     pub starts_gone: u64,
 }
@@ -63,6 +66,22 @@
         self.jobs.len() - 1
     }
 
+    /// A job id that no other user uses.
+    pub fn next_odd_id(&mut self) -> JobId {
+        self.odd_ids += 1;
+        JobId::from(format!("req-7{:05}", self.odd_ids))
+    }
+
+    /// Jobs that others may need, and that nobody will call off any more.
+    pub fn accepted_arrays(&self) -> Vec<JobId> {
+        let done = self.jobs.iter().filter(|job| job.told_done.is_some());
+        done.filter(|job| job.spec.kind == Kind::Array).map(|job| job.id.clone()).collect()
+    }
+
+    pub fn told_cancelled(&self, id: &JobId) -> Option<f64> {
+        self.find(id).and_then(|job| job.told_cancelled)
+    }
+
     fn find(&self, id: &JobId) -> Option<&User> {
         self.jobs.iter().find(|job| job.id == *id)
     }
@@ -147,7 +166,7 @@
         let what = match ask {
             Ask::Submit => UserRequest::Submit(id, Box::new(user.spec.clone())),
             Ask::Poll | Ask::Look => UserRequest::Poll(id),
-            Ask::Repeat => UserRequest::Submit(id, Box::new(user.spec.clone())),
+            Ask::Repeat | Ask::Odd => UserRequest::Submit(id, Box::new(user.spec.clone())),
             Ask::Cancel => {
                 user.wants_cancel = true;
                 UserRequest::Cancel(id)
@@ -202,7 +221,7 @@
     ) {
         let status = answer.as_ref().map(|answer| answer.status);
         let Some(job) = job else {
-            if status == Some(200) {
+            if matches!(status, Some(200 | 201)) {
                 self.breaks("invented", "a job that nobody submitted".into());
             }
             return;
@@ -235,7 +254,7 @@
             Ask::Submit => self.after(1.0, Event::Submit { job }),
             Ask::Cancel => self.after(1.0, Event::Cancel { job }),
             Ask::Poll => self.after(5.0, Event::Poll { job }),
-            Ask::Look | Ask::Repeat => {}
+            Ask::Look | Ask::Repeat | Ask::Odd => {}
         }
     }
 
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -11,6 +11,8 @@
 
 const ANSWER_WAIT: f64 = 4.0;
 /// How often a worker looks at its lease and its tasks.
+/// A start that was sent when its job was cancelled has begun by then.
+const IN_FLIGHT_S: f64 = 1.5;
 const TURN: f64 = 0.1;
 
 #[derive(Clone, Debug)]
@@ -501,6 +503,13 @@
         if let Some(needed) = self.users.not_ready(&task.job) {
             self.breaks("too_early", format!("{task} starts on {id}, {needed} is not done"));
         }
+        if let Some(told) = self.users.told_cancelled(&task.job).filter(|told| *told < self.now) {
+            self.work.starts_after_cancel += 1;
+            // With no trouble, what was under way then has been stopped by now.
+            if self.calm_for(told, LEASE_S * 2.0) && self.now > told + IN_FLIGHT_S {
+                self.breaks("started_cancelled", format!("{task} starts on {id}"));
+            }
+        }
         if self.users.cancelled_for_long(&task.job, self.now) {
             self.breaks("ran_cancelled", format!("{task} starts on {id}"));
         }
@@ -536,6 +545,11 @@
     }
 
     /// Tasks of a job that are on a machine by the rules.
+    /// Whether there was no trouble from `before` seconds before a moment until now.
+    fn calm_for(&self, since: f64, before: f64) -> bool {
+        self.net.calm() && self.calm_since.max(self.crashed) < since - before
+    }
+
     pub(super) fn tasks_on(&self, job: &JobId) -> usize {
         let tasks = self.workers.values().flat_map(|w| &w.tasks);
         tasks.filter(|((task, _), running)| task.job == *job && running.on_machine()).count()
