--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -4,7 +4,7 @@
 
 use super::io::Pending;
 use super::peers::{MeshMessage, MeshReply};
-use super::view::{JobRecord, guard, job_key, put};
+use super::view::{JobRecord, Versioned, guard, job_key, put};
 use super::{Answer, Body, Core, RequestId, StateCall, StateReply, Time, UserRequest};
 use crate::ids::{JobId, Team, Version};
 use crate::wire::{JobSpec, Kind, Stance, Transaction, Write, stance_answer, state_answer};
@@ -122,6 +122,12 @@
             let answer = Answer::value(422, serde_json::json!({"error": problem}));
             return self.reply(asked.reply_to, answer);
         }
+        // Recorded as cancelled from the start, so that its user can be told so.
+        let cancelled = spec.dependencies.iter().any(|needed| self.view.cancelled(needed));
+        let write = match cancelled {
+            true => put(&key, &record.cancelled_unstarted(self.io.wall_ms), None),
+            false => write,
+        };
         asked.created = true;
         self.commit(asked, key, 0, write);
     }
@@ -147,9 +153,9 @@
                 self.view.apply_write(&write, version);
                 self.view.want_sync();
                 match &asked.what {
-                    UserRequest::Submit(id, _) => {
-                        let doomed = self.view.doomed(id);
-                        let stance = if doomed { Stance::Cancelled } else { Stance::Pending };
+                    UserRequest::Submit(id, _) if asked.created => {
+                        let recorded = self.view.job(id).map(|job| job.record.stance);
+                        let stance = recorded.unwrap_or(Stance::Pending);
                         let answer = Answer::value(201, stance_answer(id, stance));
                         self.reply(asked.reply_to, answer);
                     }
@@ -159,7 +165,8 @@
                         let answer = Answer::value(200, stance_answer(&id, Stance::Cancelled));
                         self.reply(asked.reply_to, answer);
                     }
-                    UserRequest::Poll(_) => {}
+                    // Its cancellation with what it needs is recorded now.
+                    UserRequest::Submit(..) | UserRequest::Poll(_) => self.settle(asked),
                 }
             }
             StateReply::Busy if now < asked.asked + BUSY_WAIT => {
@@ -179,8 +186,10 @@
     fn settle(&mut self, mut asked: Asked) {
         let id = asked.what.job().clone();
         let known = self.view.job(&id).cloned();
-        let doomed = self.view.doomed(&id);
-        let ended = doomed || known.as_ref().is_some_and(|job| job.record.is_final());
+        let ended = known.as_ref().is_some_and(|job| job.record.is_final());
+        if let (false, true, Some(job)) = (ended, self.view.doomed(&id), &known) {
+            return self.record_cancellation(asked, job);
+        }
         if !ended && self.view.current_as_of < asked.needs {
             self.view.want_sync();
             self.desk.waiting.push(asked);
@@ -211,20 +220,28 @@
                 let answer = Answer::value(200, stance_answer(&id, stance));
                 self.reply(asked.reply_to, answer);
             }
-            (UserRequest::Cancel(_), Some(job)) => {
-                let record = job.record.cancelled(self.io.wall_ms);
-                let write = put(&job_key(&id), &record, None);
-                self.commit(asked, job_key(&id), job.version, write);
-            }
+            (UserRequest::Cancel(_), Some(job)) => self.record_cancellation(asked, &job),
         }
     }
 
+    /// A job is cancelled by its user, or with one that it needs. Nobody is told before that is
+    /// recorded: a version that doesn't know of dependencies could tell users otherwise (upgrade
+    /// days 2 and 34: a controller went back to such a version).
+    fn record_cancellation(&mut self, asked: Asked, job: &Versioned<Rc<JobRecord>>) {
+        let (key, wall_ms) = (job_key(asked.what.job()), self.io.wall_ms);
+        let record = match self.view.doomed(asked.what.job()) {
+            true => job.record.cancelled_unstarted(wall_ms),
+            false => job.record.cancelled(wall_ms),
+        };
+        let write = put(&key, &record, None);
+        self.commit(asked, key, job.version, write);
+    }
+
     /// Stance and counts as shown to users; only final stances are promises.
     fn display(&self, id: &JobId, record: &JobRecord) -> (Stance, u32, u32) {
         match record.stance {
             Stance::Done => (Stance::Done, record.tasks, 0),
             Stance::Cancelled => (Stance::Cancelled, 0, 0),
-            _ if self.view.doomed(id) => (Stance::Cancelled, 0, 0),
             _ => {
                 let counts = self.owner.as_ref().and_then(|owner| owner.counts(id));
                 let (done, running) =
--- a/src/core/job_records.rs
+++ b/src/core/job_records.rs
@@ -117,9 +117,7 @@
                 break;
             }
             *not_before = now + io.jitter(pause);
-            let mut record = job.record.cancelled(io.wall_ms);
-            // What it needs was never done, so it never began.
-            record.leaving.iter_mut().for_each(|leaving| leaving.tasks = 0);
+            let record = job.record.cancelled_unstarted(io.wall_ms);
             let write = put(&job_key(id), &record, None);
             batch.push(RecordWrite { job: id.clone(), version: job.version, write });
         }
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -292,3 +292,28 @@
     share.push_orders(&mut io);
     assert_eq!(io.take_effects().len(), 20);
 }
+
+/// A deadline counts from the submission; every other time from when the last dependency was done.
+#[test]
+fn waiting_for_others_counts_towards_the_deadline_only() {
+    let (mut share, mut io, mut view) = share();
+    let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
+    map(&mut view, 5, vec![mine]);
+    share.follow_map(&mut io, &view, &Quiet::default());
+    let mut waiting = JobRecord { accepted_ms: 10_000, ..record(false) };
+    let spec = Rc::make_mut(waiting.spec.as_mut().unwrap());
+    spec.dependencies = vec!["req-000001".into(), "req-000002".into()];
+    spec.deadline_s = Some(90.0);
+    let (id, now, wall_ms) = (JobId::from("req-000003"), 100.0, 60_000);
+    let done = |view: &mut View, id: &str, at_ms: u64| {
+        view.apply_write(&put(&job_key(&id.into()), &record(false).done(at_ms), None), at_ms);
+    };
+    done(&mut view, "req-000001", 55_000);
+    share.take_job(&view, &id, &Rc::new(waiting.clone()), 9, (now, wall_ms));
+    assert!(share.jobs.is_empty(), "one of them is not done");
+    done(&mut view, "req-000002", 40_000);
+    share.take_job(&view, &id, &Rc::new(waiting), 9, (now, wall_ms));
+    let job = &share.jobs[&id];
+    assert_eq!(job.submitted, 95.0, "5 s ago, with the last of them");
+    assert_eq!(job.deadline, Some(140.0), "accepted 50 s ago, due 90 s after that");
+}
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -124,6 +124,13 @@
         });
         Self { stance: Stance::Cancelled, leaving, ..self.done(wall_ms) }
     }
+
+    /// Cancelled with what it needs: that was never done, so none of its tasks ever began.
+    pub fn cancelled_unstarted(&self, wall_ms: u64) -> Self {
+        let mut record = self.cancelled(wall_ms);
+        record.leaving.iter_mut().for_each(|leaving| leaving.tasks = 0);
+        record
+    }
 }
 
 /// Final states that a controller knows beyond those that another one asked from.
@@ -379,6 +386,12 @@
         self.dependencies.doomed(id)
     }
 
+    /// Whether a job is cancelled, by its user or with one that it needs.
+    pub fn cancelled(&self, id: &JobId) -> bool {
+        let recorded = self.jobs.get(id).map(|job| job.record.stance);
+        recorded == Some(Stance::Cancelled) || self.doomed(id)
+    }
+
     /// What those that need a job ask of it.
     pub fn inherited(&self, id: &JobId) -> Option<&Urgency> {
         self.dependencies.inherited(id)
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -130,7 +130,9 @@
     /// Crashes one after the other, which come back with the present version.
     Upgrade {
         every: f64,
-        last_first: bool,
+        order: UpgradeOrder,
+        /// How many at once.
+        together: usize,
     },
     /// A crash of one, which comes back with the version before.
     Downgrade {
@@ -142,6 +144,16 @@
     },
 }
 
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpgradeOrder {
+    Ascending,
+    Descending,
+    /// Whoever leads when the upgrade begins.
+    LeaderFirst,
+    LeaderLast,
+    Listed(Vec<usize>),
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MapFault {
     /// Its writer ends once it is carried out, before it hears so.
@@ -293,6 +305,19 @@
         self.workers.keys().nth(which % self.workers.len().max(1)).cloned()
     }
 
+    fn upgrade_order(&self, order: &UpgradeOrder) -> Vec<usize> {
+        let mut nodes: Vec<usize> = (0..self.nodes.len()).collect();
+        let leader = self.leader();
+        match order {
+            UpgradeOrder::Ascending => {}
+            UpgradeOrder::Descending => nodes.reverse(),
+            UpgradeOrder::LeaderFirst => nodes.sort_by_key(|node| Some(*node) != leader),
+            UpgradeOrder::LeaderLast => nodes.sort_by_key(|node| Some(*node) == leader),
+            UpgradeOrder::Listed(listed) => nodes.clone_from(listed),
+        }
+        nodes
+    }
+
     pub(super) fn fault(&mut self, fault: Fault) {
         self.note(format!("fault {fault:?}"));
         let now = self.now;
@@ -392,11 +417,12 @@
                     lasting.push((seconds, Kind::Mute(machine)));
                 }
             }
-            Fault::Upgrade { every, last_first } => {
-                let nodes = self.nodes.len();
-                for turn in 0..nodes {
-                    let node = if last_first { nodes - 1 - turn } else { turn };
-                    self.after(every * turn as f64, Event::Upgrade { node });
+            Fault::Upgrade { every, order, together } => {
+                let nodes = self.upgrade_order(&order);
+                self.note(format!("upgrades {nodes:?}, led by {:?}", self.leader()));
+                for (place, node) in nodes.into_iter().enumerate() {
+                    let turn = (place / together) as f64;
+                    self.after(every * turn, Event::Upgrade { node });
                 }
             }
             Fault::Downgrade { who } => {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -29,7 +29,7 @@
 use users::Users;
 use worker::Worker;
 
-pub use faults::{Fault, MapFault, Who};
+pub use faults::{Fault, MapFault, UpgradeOrder, Who};
 
 pub const REPORT_S: f64 = 1.0;
 pub const LEASE_S: f64 = 10.0;
@@ -441,6 +441,11 @@
             Event::Restart { node } => self.restart(node),
             Event::Upgrade { node } => {
                 self.old.remove(&node);
+                let leads = if self.leader() == Some(node) { ", the leader" } else { "" };
+                let old = self.old.len();
+                self.note(format!(
+                    "n{node}{leads} is upgraded, {old} of the version before are left"
+                ));
                 self.crash(node, RESTART_S);
             }
             Event::Thaw { node, epoch } => {
