--- a/src/core/job_records.rs
+++ b/src/core/job_records.rs
@@ -4,13 +4,13 @@
 
 use super::io::{Io, Pending};
 use super::jobs::Job;
-use super::machines::Phase;
 use super::owner::Owner;
 use super::view::{JobRecord, View, guard, job_key, put};
 use super::{StateCall, StateReply, Time};
 use crate::config::Config;
 use crate::ids::{JobId, Version};
-use crate::wire::{BODY_LIMIT, Exit, Transaction, Write};
+use crate::wire::{BODY_LIMIT, Transaction, Write};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Part of the state service's changes a second that progress and ends of jobs may take.
 const SHARE_OF_WRITES: f64 = 0.75;
@@ -32,6 +32,59 @@
     write: Write,
 }
 
+/// Jobs with something to record, in the order in which they are served. A job may stand in it more
+/// than once; what has been recorded meanwhile is passed over.
+#[derive(Default)]
+pub struct Unrecorded {
+    completed: VecDeque<JobId>,
+    /// With the time since when each has progress.
+    progressed: VecDeque<(Time, JobId)>,
+}
+
+impl Unrecorded {
+    fn add(&mut self, id: &JobId, job: &Job, now: Time) {
+        if job.all_done() {
+            self.completed.push_back(id.clone());
+        } else {
+            self.progressed.push_back((now, id.clone()));
+        }
+    }
+
+    /// The next one: a completed job, or one whose progress has waited for `leisure`.
+    fn next(
+        &mut self,
+        jobs: &BTreeMap<JobId, Job>,
+        leisure: Time,
+        now: Time,
+        visits: &mut u64,
+    ) -> Option<JobId> {
+        let open = |id: &JobId| {
+            jobs.get(id).filter(|job| job.unrecorded_since.is_some() && !job.write_out)
+        };
+        for _ in 0..self.completed.len() {
+            let id = self.completed.pop_front()?;
+            *visits += 1;
+            match open(&id) {
+                Some(job) if now < job.write_after => self.completed.push_back(id),
+                Some(_) => return Some(id),
+                None => {}
+            }
+        }
+        while self.progressed.front().is_some_and(|(since, _)| now >= since + leisure) {
+            let (_, id) = self.progressed.pop_front()?;
+            *visits += 1;
+            match open(&id) {
+                // Its end is among the completed.
+                Some(job) if job.all_done() => {}
+                Some(job) if now < job.write_after => self.progressed.push_back((now, id)),
+                Some(_) => return Some(id),
+                None => {}
+            }
+        }
+        None
+    }
+}
+
 /// Controllers with teams write on their own; together they leave room within the state service's
 /// rate for users' requests and the map.
 pub fn write_rate(config: &Config, writers: usize) -> f64 {
@@ -39,20 +92,28 @@
 }
 
 impl Owner {
+    /// A job has progress, or its end, to be recorded.
+    pub(super) fn note_progress(&mut self, id: &JobId, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let first = job.unrecorded_since.is_none();
+        job.unrecorded_since.get_or_insert(now);
+        if first || job.all_done() {
+            self.unrecorded.add(id, job, now);
+        }
+    }
+
     /// Records completed jobs at once, progress at leisure.
     pub(super) fn record_progress(&mut self, io: &mut Io) {
         let mut batch = Vec::new();
-        for id in self.jobs_to_record(io.now) {
-            if !io.may_write() {
-                break;
-            }
+        while io.may_write() && self.record_rate.has_token(io.now) {
+            let leisure = self.config.deployment.workers.report_s;
+            let due = self.unrecorded.next(&self.jobs, leisure, io.now, &mut self.visits);
+            let Some(id) = due else { break };
             let Some(write) = self.next_record(&id, io.wall_ms) else { continue };
-            if !self.record_rate.take(io.now) {
-                break;
-            }
             let Some(job) = self.jobs.get_mut(&id) else { continue };
+            self.record_rate.take(io.now);
             job.write_out = true;
-            job.dirty = None;
+            job.unrecorded_since = None;
             if job.write_alone {
                 commit(io, vec![write]);
             } else {
@@ -62,24 +123,6 @@
         self.commit_batches(io, batch);
     }
 
-    /// Jobs with something to record: complete ones first, then those that wait for longest.
-    fn jobs_to_record(&self, now: Time) -> Vec<JobId> {
-        let leisure = self.config.deployment.workers.report_s;
-        let mut due: Vec<(bool, Time, &JobId)> = Vec::new();
-        for (id, job) in &self.jobs {
-            let Some(since) = job.dirty else { continue };
-            if job.write_out || now < job.write_after {
-                continue;
-            }
-            let complete = job.all_done();
-            if complete || now >= since + leisure {
-                due.push((!complete, since, id));
-            }
-        }
-        due.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        due.into_iter().map(|(_, _, id)| id.clone()).collect()
-    }
-
     /// What is to be recorded of a job; nothing if the state service would refuse it.
     fn next_record(&mut self, id: &JobId, wall_ms: u64) -> Option<RecordWrite> {
         let value_limit = self.config.deployment.state.value_kb * 1024.0;
@@ -91,7 +134,7 @@
         // Accepted when values could be larger: its progress is recorded with its end only.
         let too_large = !record.is_final() && bytes as f64 > value_limit;
         if too_large || bytes >= job.refused_bytes {
-            job.dirty = None;
+            job.unrecorded_since = None;
             return None;
         }
         Some(RecordWrite { job: id.clone(), version: job.version, write })
@@ -154,45 +197,46 @@
             if let StateReply::Committed(version) = reply {
                 view.apply_write(&write, version);
             }
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
-            job.write_out = false;
-            match reply {
-                StateReply::Committed(_) => self.recorded(io, view, &id),
-                StateReply::Conflict | StateReply::Rejected if together => {
-                    job.write_alone = true;
-                    job.dirty.get_or_insert(io.now);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.write_out = false;
+                match reply {
+                    StateReply::Committed(_) => {}
+                    StateReply::Conflict | StateReply::Rejected if together => {
+                        job.write_alone = true;
+                    }
+                    StateReply::Rejected => {
+                        let bytes = write.bytes();
+                        tracing::error!("the state service refuses {bytes} bytes for {id}");
+                        job.refused_bytes = job.refused_bytes.min(bytes);
+                    }
+                    ref other => {
+                        // Cancelled meanwhile, or outcome unknown: the view tells before the next try.
+                        view.want_sync();
+                        let conflict = *other == StateReply::Conflict;
+                        let pause = if conflict { CONFLICT_PAUSE } else { FAILURE_PAUSE };
+                        job.write_after = io.now + io.jitter(pause);
+                    }
                 }
-                StateReply::Rejected => {
-                    let bytes = write.bytes();
-                    tracing::error!("the state service refuses the record of {id}, {bytes} bytes");
-                    job.refused_bytes = job.refused_bytes.min(bytes);
-                    job.dirty.get_or_insert(io.now);
+                if !matches!(reply, StateReply::Committed(_)) {
+                    job.unrecorded_since.get_or_insert(io.now);
                 }
-                ref other => {
-                    // Cancelled meanwhile, or outcome unknown: the view tells before the next try.
-                    view.want_sync();
-                    job.dirty.get_or_insert(io.now);
-                    let conflict = *other == StateReply::Conflict;
-                    let pause = if conflict { CONFLICT_PAUSE } else { FAILURE_PAUSE };
-                    job.write_after = io.now + io.jitter(pause);
+                if job.unrecorded_since.is_some() {
+                    self.unrecorded.add(&id, job, io.now);
                 }
             }
+            if matches!(reply, StateReply::Committed(_)) {
+                self.recorded(io, view, &id);
+            }
         }
     }
 
     /// What is recorded as done may be forgotten by its machines.
     fn recorded(&mut self, io: &Io, view: &View, id: &JobId) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.write_alone = false;
-        }
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.write_alone = false;
         let Some(stored) = view.job(id) else { return };
         let (record, version) = (stored.record.clone(), stored.version);
-        for machine in self.machines.values_mut() {
-            for ((task, _), held) in &mut machine.on {
-                let done = held.phase == Phase::Exited(Exit::Done);
-                held.forget |= task.job == *id && done && record.done.contains(task.index);
-            }
-        }
+        self.forget_recorded(id, &record);
         self.take_job(view, id, &record, version, (io.now, io.wall_ms));
     }
 }
--- a/src/core/job_records/tests.rs
+++ b/src/core/job_records/tests.rs
@@ -27,7 +27,7 @@
     let done = |share: &mut Owner, index| {
         let job = share.jobs.get_mut(&id).unwrap();
         job.set(index, Task::Done, None);
-        job.dirty = Some(0.0);
+        share.note_progress(&id, 0.0);
     };
     let write_after = |share: &mut Owner, io: &mut Io, now: Time| {
         io.begin(now, 0);
@@ -59,7 +59,7 @@
         let job = share.jobs.get_mut(&id(number)).unwrap();
         job.set(0, Task::Done, None);
         job.set(1, Task::Done, None);
-        job.dirty = Some(1.0);
+        share.note_progress(&id(number), 1.0);
     }
     let sent = |share: &mut Owner, io: &mut Io, now| {
         io.begin(now, 0);
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -46,7 +46,7 @@
     /// Machines that its tasks failed on.
     pub failed_on: BTreeSet<MachineId>,
     /// Since when progress is not recorded.
-    pub dirty: Option<Time>,
+    pub unrecorded_since: Option<Time>,
     pub write_out: bool,
     pub write_after: Time,
     /// A transaction with others' records failed: the next write goes by itself.
@@ -87,7 +87,7 @@
             retries: BTreeMap::new(),
             zones: BTreeMap::new(),
             failed_on: BTreeSet::new(),
-            dirty: None,
+            unrecorded_since: None,
             write_out: false,
             write_after: 0.0,
             write_alone: false,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod leader;
 pub mod machines;
 pub mod news;
+pub mod owned_jobs;
 pub mod owner;
 pub mod pacing;
 pub mod part_map;
@@ -28,6 +29,7 @@
 pub mod report_routing;
 pub mod schedule;
 pub mod supply;
+pub mod task_index;
 #[cfg(test)]
 mod test_support;
 pub mod token_bucket;
@@ -266,6 +268,12 @@
         owner.map(Owner::settled_teams).unwrap_or_default()
     }
 
+    /// Attempts and jobs of the share looked at so far because something happened to them, and rounds
+    /// of placement: what its work is in proportion to.
+    pub fn work(&self) -> (u64, u64) {
+        self.owner.as_ref().map(Owner::work).unwrap_or_default()
+    }
+
     fn input(&mut self, input: Input) {
         match input {
             Input::User(request, what) => self.user_request(request, what),
--- /dev/null
+++ b/src/core/owned_jobs.rs
@@ -0,0 +1,228 @@
+//! The jobs of a share: taking them up from their records, what those that need them ask of them,
+//! and their ends.
+
+use super::Time;
+use super::jobs::{Job, Task};
+use super::machines::{Held, Machine, Phase};
+use super::owner::Owner;
+use super::placement::Room;
+use super::view::{JobRecord, Leaving, View};
+use crate::ids::{Attempt, JobId, MachineId, TaskId, Version, Zone};
+use crate::wire::JobSpec;
+use std::rc::Rc;
+
+/// An attempt of a task that may be on a machine.
+struct AttemptAt<'a> {
+    machine: &'a MachineId,
+    zone: &'a Zone,
+    task: &'a TaskId,
+    attempt: Attempt,
+}
+
+impl Owner {
+    /// A job's record is new or has changed.
+    pub(super) fn take_job(
+        &mut self,
+        view: &View,
+        id: &JobId,
+        record: &Rc<JobRecord>,
+        version: Version,
+        (now, wall_ms): (Time, u64),
+    ) {
+        if record.is_final() {
+            return self.job_over(id);
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.version = version;
+            job.record = record.clone();
+            return self.make_urgent(view, id, (now, wall_ms));
+        }
+        let Some(spec) = &record.spec else { return };
+        let Some(team) = self.teams.get(&spec.team) else { return };
+        if view.doomed(id) {
+            self.doomed.entry(id.clone()).or_insert(now);
+            return;
+        }
+        // Until all that it needs is done, durably and as read here, it is no work of this share. Its
+        // view takes it up again with the last of them.
+        let Some(ready_ms) = view.ready_ms(record) else { return };
+        // The team's former owner may have started everything that it could read before it saw the
+        // change of the map. A leader that takes the team for itself knows its own write before
+        // its next sync brings the jobs that came before that; so it is the versions that tell, not
+        // when a job appeared here. Progress is recorded only of what has run.
+        let unheard_of = version > team.gained && record.done.is_empty();
+        let settled = team.unsettled.is_empty() || unheard_of;
+        let age = wall_ms.saturating_sub(ready_ms) as f64 / 1e3;
+        let mut job = Job::new(spec.clone(), record.clone(), version, now - age, settled);
+        if job.is_gang() && !job.done.is_empty() {
+            (0..spec.tasks).for_each(|index| job.set(index, Task::Done, None));
+        }
+        let ended = job.all_done();
+        let exits = self.find_attempts(id, &mut job);
+        if job.unsettled() > 0 {
+            self.unsettled_jobs.insert(id.clone());
+        }
+        self.forecast.arrived(spec, job.submitted);
+        self.jobs.insert(id.clone(), job);
+        self.make_urgent(view, id, (now, wall_ms));
+        self.changed = true;
+        if ended {
+            self.note_progress(id, now);
+        }
+        for (machine, task, attempt) in exits {
+            let key = (task.clone(), attempt);
+            let held = self.machines.get(&machine).and_then(|machine| machine.on.get(&key));
+            if let Some(Phase::Exited(why)) = held.map(|held| held.phase.clone()) {
+                self.task_exited(&machine, &task, attempt, why, now);
+            }
+        }
+    }
+
+    /// Attempts of a new job may be on machines that reported before it was known here. Those that
+    /// have exited are returned.
+    fn find_attempts(&mut self, id: &JobId, job: &mut Job) -> Vec<(MachineId, TaskId, Attempt)> {
+        let mut exits = Vec::new();
+        let spec = job.spec.clone();
+        self.each_attempt(id, |at, held| {
+            describe(held, &spec);
+            let index = at.task.index;
+            if held.exited() {
+                exits.push((at.machine.clone(), at.task.clone(), at.attempt));
+            } else if matches!(job.task(index), Some(Task::Waiting | Task::Unsettled)) {
+                job.set(index, Task::Placed(at.machine.clone(), at.attempt), Some(at.zone));
+                job.began |= held.began.is_some();
+            }
+        });
+        exits
+    }
+
+    /// Looks at every attempt of a job that may be on a machine.
+    fn each_attempt(&mut self, id: &JobId, mut look: impl FnMut(&AttemptAt, &mut Held)) {
+        let first = (TaskId { job: id.clone(), index: 0 }, Attempt(0));
+        let last = (TaskId { job: id.clone(), index: u32::MAX }, Attempt(u64::MAX));
+        for machine in self.task_index.machines_of(id) {
+            let Some(Machine { id, zone, on, .. }) = self.machines.get_mut(&machine) else {
+                continue;
+            };
+            for ((task, attempt), held) in on.range_mut(first.clone()..=last.clone()) {
+                self.visits += 1;
+                look(&AttemptAt { machine: id, zone, task, attempt: *attempt }, held);
+            }
+        }
+    }
+
+    /// A job takes the priority and the deadline of those that need it.
+    fn make_urgent(&mut self, view: &View, id: &JobId, (now, wall_ms): (Time, u64)) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let on_clock = |ms: u64| now + (ms as f64 - wall_ms as f64) / 1e3;
+        let finish = self.config.finish_objective(&job.spec.class);
+        let own = job.spec.deadline_s.filter(|_| finish.is_none());
+        let own = own.map(|due| on_clock(job.record.accepted_ms) + due);
+        let inherited = view.inherited(id);
+        let theirs = inherited.and_then(|urgency| urgency.due_ms).map(on_clock);
+        job.deadline = [own, theirs].into_iter().flatten().min_by(Time::total_cmp);
+        let Some(urgency) = inherited.filter(|urgency| urgency.priority > job.priority) else {
+            return;
+        };
+        job.priority = urgency.priority;
+        self.changed = true;
+        self.each_attempt(id, |_, held| held.priority = held.priority.max(urgency.priority));
+    }
+
+    /// Done or cancelled, and recorded so: its tasks go, and their exits may be forgotten.
+    fn job_over(&mut self, id: &JobId) {
+        self.changed |= self.jobs.remove(id).is_some();
+        let mut stopped = Vec::new();
+        self.each_attempt(id, |at, held| {
+            held.forget = true;
+            if !held.exited() && held.stop != Some(0.0) {
+                held.stop = Some(0.0);
+                stopped.push(at.machine.clone());
+            }
+        });
+        self.push.extend(stopped);
+    }
+
+    /// What is recorded as done may be forgotten by its machines.
+    pub(super) fn forget_recorded(&mut self, id: &JobId, record: &JobRecord) {
+        self.each_attempt(id, |at, held| {
+            let done = held.phase == Phase::Exited(crate::wire::Exit::Done);
+            held.forget |= done && record.done.contains(at.task.index);
+        });
+    }
+
+    /// Tasks done and running of a job, for display.
+    pub fn counts(&self, id: &JobId) -> Option<(u32, u32)> {
+        self.running.get(id).copied()
+    }
+
+    /// Tasks done and running of all jobs that run, for display.
+    pub fn running(&self) -> Vec<(JobId, u32, u32)> {
+        self.running.iter().map(|(id, &(done, running))| (id.clone(), done, running)).collect()
+    }
+
+    pub(super) fn count_running(&mut self, now: Time) {
+        if now < self.running_at + self.config.deployment.workers.lease_s / 20.0 {
+            return;
+        }
+        self.running_at = now;
+        self.running.clear();
+        for ((task, _), held) in self.machines.values().flat_map(|machine| &machine.on) {
+            if held.has_image()
+                && let Some(job) = self.jobs.get(&task.job)
+            {
+                let counts = self.running.entry(task.job.clone()).or_default();
+                *counts = (job.done.len(), counts.1 + 1);
+            }
+        }
+    }
+
+    /// A gang's tasks complete together: if one is done, they all are. The others' machines may
+    /// be lost before they can say so.
+    pub(super) fn gang_done(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        for index in 0..job.spec.tasks {
+            let zone = match job.task(index) {
+                Some(Task::Placed(machine, _)) => {
+                    self.machines.get(machine).map(|m| m.zone.clone())
+                }
+                _ => None,
+            };
+            job.set(index, Task::Done, zone.as_ref());
+        }
+    }
+
+    /// One task of a gang is gone: the others cannot go on, so they make room at once.
+    pub(super) fn gang_lost_one(&mut self, id: &JobId, attempt: Attempt) {
+        let Some(job) = self.jobs.get(id).filter(|job| job.is_gang() && job.spec.tasks > 1) else {
+            return;
+        };
+        for index in 0..job.spec.tasks {
+            let Some(Task::Placed(machine, other)) = job.task(index) else { continue };
+            let key = (TaskId { job: id.clone(), index }, attempt);
+            if *other == attempt
+                && let Some(machine) = self.machines.get_mut(machine)
+                && let Some(held) = machine.on.get_mut(&key)
+                && !held.exited()
+                && held.stop.is_none()
+            {
+                held.stop = Some(0.0);
+                self.push.insert(machine.id.clone());
+            }
+        }
+    }
+}
+
+pub(super) fn describe(held: &mut Held, spec: &JobSpec) {
+    held.room = Some(Room::of(spec));
+    held.team = Some(spec.team.clone());
+    held.image = Some((spec.image.clone(), spec.image_gb));
+    held.priority = spec.priority;
+    held.save_s = if spec.checkpoint_s > 0.0 { spec.save_s } else { 0.0 };
+}
+
+/// What is left of a cancelled job, as its record tells.
+pub(super) fn describe_leaving(held: &mut Held, leaving: &Leaving) {
+    held.room = Some(leaving.need);
+    held.team = Some(leaving.team.clone());
+}
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -7,18 +7,18 @@
 use super::catalog::Catalog;
 use super::forecast::Forecast;
 use super::io::Io;
-use super::job_records::write_rate;
-use super::jobs::{Job, Task};
-use super::machines::{Held, Machine, Phase};
+use super::job_records::{Unrecorded, write_rate};
+use super::jobs::Job;
+use super::machines::{Held, Machine};
 use super::part_map;
 use super::placement::{Room, Weights};
 use super::quiet::Quiet;
 use super::supply::{Need, Offer};
+use super::task_index::TaskIndex;
 use super::token_bucket::TokenBucket;
-use super::view::{JobRecord, Leaving, View};
+use super::view::{JobRecord, View};
 use crate::config::Config;
-use crate::ids::{Attempt, Image, JobId, MachineId, Node, TaskId, Team, Term, Version};
-use crate::wire::JobSpec;
+use crate::ids::{Attempt, Image, JobId, MachineId, Node, Team, Term, Version};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -46,11 +46,21 @@
     pub(super) push: BTreeSet<MachineId>,
     /// Something changed that placement may profit from.
     pub(super) changed: bool,
+    /// On which machines tasks of each job may be.
+    pub(super) task_index: TaskIndex,
+    /// Jobs with progress or an end that is not recorded.
+    pub(super) unrecorded: Unrecorded,
+    /// Jobs with tasks that may be on machines that have not told.
+    pub(super) unsettled_jobs: BTreeSet<JobId>,
+    next_check: Time,
+    /// Attempts and jobs looked at so far because something happened, and rounds of placement.
+    pub(super) visits: u64,
+    pub(super) rounds: u64,
     scheduled: Time,
     /// Of changes in the state service that record jobs.
     pub(super) record_rate: TokenBucket,
-    running: BTreeMap<JobId, (u32, u32)>,
-    running_at: Time,
+    pub(super) running: BTreeMap<JobId, (u32, u32)>,
+    pub(super) running_at: Time,
     pub(super) weights: Weights,
     pub(super) forecast: Forecast,
     pub(super) need: Need,
@@ -71,6 +81,10 @@
 /// not what is allowed.
 pub type Hints = BTreeMap<MachineId, Vec<(Image, f64)>>;
 
+/// Part of a lease after which machines are looked at again for what time alone changes.
+const CHECK_LEASES: f64 = 0.005;
+/// Part of a lease between rounds of placement at the least.
+const ROUND_LEASES: f64 = 0.0025;
 /// Attempt numbers to a term of a team.
 const ATTEMPTS: u64 = 1 << 16;
 
@@ -87,6 +101,12 @@
             map_seen: None,
             push: BTreeSet::new(),
             changed: true,
+            task_index: TaskIndex::default(),
+            unrecorded: Unrecorded::default(),
+            unsettled_jobs: BTreeSet::new(),
+            next_check: now,
+            visits: 0,
+            rounds: 0,
             scheduled: now,
             record_rate: TokenBucket::new(rate, rate, now),
             running: BTreeMap::new(),
@@ -112,12 +132,26 @@
                 self.take_job(view, &id, &record, version, (now, io.wall_ms));
             }
         }
+        self.check_machines(view, catalog, now);
+        self.settle_when_known(view);
+        self.record_progress(io);
+        self.record_doomed(io, view);
+        self.place_when_due(io, view, catalog);
+        self.count_running(now);
+        self.push_orders(io);
+    }
+
+    /// What time alone changes of machines: looked at a fixed number of times a lease, however much
+    /// happens.
+    fn check_machines(&mut self, view: &View, catalog: &Catalog, now: Time) {
+        if now < self.next_check {
+            return;
+        }
+        self.next_check = now + self.config.deployment.workers.lease_s * CHECK_LEASES;
         for machine in self.machines.values_mut() {
             if machine.total == Room::default() && !machine.address.is_empty() {
                 machine.set_type(catalog.types());
             }
-        }
-        for machine in self.machines.values_mut() {
             // A successor of its process has registered, so that has ended.
             let ended = |(node, incarnation): &Process| {
                 view.node(node).is_some_and(|n| n.record.incarnation != *incarnation)
@@ -128,18 +162,26 @@
         }
         self.declare_quiet(view, now);
         self.expire_machines(view, now);
-        self.settle_when_known(view);
-        self.record_progress(io);
-        self.record_doomed(io, view);
-        let report_s = self.config.deployment.workers.report_s;
-        if self.changed || now > self.scheduled + report_s * 0.25 {
-            self.changed = false;
-            self.scheduled = now;
-            self.drain(now);
-            self.schedule(io, view, catalog);
+    }
+
+    /// A round of placement looks at the whole share, so changes that come close together share one.
+    fn place_when_due(&mut self, io: &Io, view: &View, catalog: &Catalog) {
+        let workers = &self.config.deployment.workers;
+        let since = io.now - self.scheduled;
+        let due = self.changed && since >= workers.lease_s * ROUND_LEASES;
+        if !due && since <= workers.report_s * 0.25 {
+            return;
         }
-        self.count_running(now);
-        self.push_orders(io);
+        self.changed = false;
+        self.scheduled = io.now;
+        self.rounds += 1;
+        self.drain(io.now);
+        self.schedule(io, view, catalog);
+    }
+
+    /// Attempts and jobs looked at so far because something happened to them, and rounds of placement.
+    pub fn work(&self) -> (u64, u64) {
+        (self.visits, self.rounds)
     }
 
     // ---- the share ----
@@ -215,11 +257,17 @@
                 machine.take_images(images);
             }
         }
-        let teams = &self.teams;
+        let (teams, index) = (&self.teams, &mut self.task_index);
         let ours = |held: &Held| held.team.as_ref().is_some_and(|team| teams.contains_key(team));
         self.machines.retain(|_, machine| {
             if !machine.mine {
-                machine.on.retain(|_, held| ours(held));
+                machine.on.retain(|(task, _), held| {
+                    let keep = ours(held);
+                    if !keep {
+                        index.remove(&task.job, &machine.id);
+                    }
+                    keep
+                });
             }
             machine.mine || !machine.on.is_empty()
         });
@@ -257,13 +305,19 @@
             }
         }
         let mut torn = Vec::new();
-        for (id, job) in self.jobs.iter_mut().filter(|(_, job)| job.unsettled() > 0) {
+        for id in std::mem::take(&mut self.unsettled_jobs) {
+            self.visits += 1;
+            let Some(job) = self.jobs.get_mut(&id).filter(|job| job.unsettled() > 0) else {
+                continue;
+            };
             if self.teams.get(&job.spec.team).is_some_and(|team| team.unsettled.is_empty()) {
                 job.settle();
                 self.changed = true;
                 if job.is_gang() && job.placed() > 0 && !job.waiting().is_empty() {
-                    torn.push(id.clone());
+                    torn.push(id);
                 }
+            } else {
+                self.unsettled_jobs.insert(id);
             }
         }
         // Part of a gang was lost between two owners: the rest cannot go on.
@@ -297,184 +351,6 @@
         let worn = self.teams.iter().filter(|(_, team)| team.attempts > ATTEMPTS / 2);
         worn.map(|(team, _)| team.clone()).collect()
     }
-
-    // ---- jobs ----
-
-    /// A job's record is new or has changed.
-    pub(super) fn take_job(
-        &mut self,
-        view: &View,
-        id: &JobId,
-        record: &Rc<JobRecord>,
-        version: Version,
-        (now, wall_ms): (Time, u64),
-    ) {
-        if record.is_final() {
-            return self.job_over(id);
-        }
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.version = version;
-            job.record = record.clone();
-            return self.make_urgent(view, id, (now, wall_ms));
-        }
-        let Some(spec) = &record.spec else { return };
-        let Some(team) = self.teams.get(&spec.team) else { return };
-        if view.doomed(id) {
-            self.doomed.entry(id.clone()).or_insert(now);
-            return;
-        }
-        // Until all that it needs is done, durably and as read here, it is no work of this share. Its
-        // view takes it up again with the last of them.
-        let Some(ready_ms) = view.ready_ms(record) else { return };
-        // The team's former owner may have started everything that it could read before it saw the
-        // change of the map. A leader that takes the team for itself knows its own write before
-        // its next sync brings the jobs that came before that; so it is the versions that tell, not
-        // when a job appeared here. Progress is recorded only of what has run.
-        let unheard_of = version > team.gained && record.done.is_empty();
-        let settled = team.unsettled.is_empty() || unheard_of;
-        let age = wall_ms.saturating_sub(ready_ms) as f64 / 1e3;
-        let mut job = Job::new(spec.clone(), record.clone(), version, now - age, settled);
-        if job.is_gang() && !job.done.is_empty() {
-            (0..spec.tasks).for_each(|index| job.set(index, Task::Done, None));
-            job.dirty = Some(now);
-        }
-        // Attempts of it may be on machines that reported before it was known here.
-        let mut exits = Vec::new();
-        for machine in self.machines.values_mut() {
-            for ((task, attempt), held) in &mut machine.on {
-                if task.job != *id {
-                    continue;
-                }
-                describe(held, spec);
-                if let Phase::Exited(why) = held.phase {
-                    exits.push((machine.id.clone(), task.clone(), *attempt, why));
-                } else if matches!(job.task(task.index), Some(Task::Waiting | Task::Unsettled)) {
-                    let placed = Task::Placed(machine.id.clone(), *attempt);
-                    job.set(task.index, placed, Some(&machine.zone));
-                    job.began |= held.began.is_some();
-                }
-            }
-        }
-        self.forecast.arrived(spec, job.submitted);
-        self.jobs.insert(id.clone(), job);
-        self.make_urgent(view, id, (now, wall_ms));
-        self.changed = true;
-        for (machine, task, attempt, why) in exits {
-            self.task_exited(&machine, &task, attempt, why, now);
-        }
-    }
-
-    /// A job takes the priority and the deadline of those that need it.
-    fn make_urgent(&mut self, view: &View, id: &JobId, (now, wall_ms): (Time, u64)) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        let on_clock = |ms: u64| now + (ms as f64 - wall_ms as f64) / 1e3;
-        let finish = self.config.finish_objective(&job.spec.class);
-        let own = job.spec.deadline_s.filter(|_| finish.is_none());
-        let own = own.map(|due| on_clock(job.record.accepted_ms) + due);
-        let inherited = view.inherited(id);
-        let theirs = inherited.and_then(|urgency| urgency.due_ms).map(on_clock);
-        job.deadline = [own, theirs].into_iter().flatten().min_by(Time::total_cmp);
-        let Some(urgency) = inherited.filter(|urgency| urgency.priority > job.priority) else {
-            return;
-        };
-        job.priority = urgency.priority;
-        self.changed = true;
-        for ((task, _), held) in self.machines.values_mut().flat_map(|m| &mut m.on) {
-            if task.job == *id {
-                held.priority = held.priority.max(urgency.priority);
-            }
-        }
-    }
-
-    /// Done or cancelled, and recorded so: its tasks go, and their exits may be forgotten.
-    fn job_over(&mut self, id: &JobId) {
-        self.changed |= self.jobs.remove(id).is_some();
-        for machine in self.machines.values_mut() {
-            for ((task, _), held) in &mut machine.on {
-                if task.job != *id {
-                    continue;
-                }
-                held.forget = true;
-                if !held.exited() && held.stop != Some(0.0) {
-                    held.stop = Some(0.0);
-                    self.push.insert(machine.id.clone());
-                }
-            }
-        }
-    }
-
-    pub fn counts(&self, id: &JobId) -> Option<(u32, u32)> {
-        self.running.get(id).copied()
-    }
-
-    pub fn running(&self) -> Vec<(JobId, u32, u32)> {
-        self.running.iter().map(|(id, &(done, running))| (id.clone(), done, running)).collect()
-    }
-
-    fn count_running(&mut self, now: Time) {
-        if now < self.running_at + self.config.deployment.workers.lease_s / 20.0 {
-            return;
-        }
-        self.running_at = now;
-        self.running.clear();
-        for ((task, _), held) in self.machines.values().flat_map(|machine| &machine.on) {
-            if held.has_image()
-                && let Some(job) = self.jobs.get(&task.job)
-            {
-                let counts = self.running.entry(task.job.clone()).or_default();
-                *counts = (job.done.len(), counts.1 + 1);
-            }
-        }
-    }
-
-    /// A gang's tasks complete together: if one is done, they all are. The others' machines may
-    /// be lost before they can say so.
-    pub(super) fn gang_done(&mut self, id: &JobId) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        for index in 0..job.spec.tasks {
-            let zone = match job.task(index) {
-                Some(Task::Placed(machine, _)) => {
-                    self.machines.get(machine).map(|m| m.zone.clone())
-                }
-                _ => None,
-            };
-            job.set(index, Task::Done, zone.as_ref());
-        }
-    }
-
-    /// One task of a gang is gone: the others cannot go on, so they make room at once.
-    pub(super) fn gang_lost_one(&mut self, id: &JobId, attempt: Attempt) {
-        let Some(job) = self.jobs.get(id).filter(|job| job.is_gang() && job.spec.tasks > 1) else {
-            return;
-        };
-        for index in 0..job.spec.tasks {
-            let Some(Task::Placed(machine, other)) = job.task(index) else { continue };
-            let key = (TaskId { job: id.clone(), index }, attempt);
-            if *other == attempt
-                && let Some(machine) = self.machines.get_mut(machine)
-                && let Some(held) = machine.on.get_mut(&key)
-                && !held.exited()
-                && held.stop.is_none()
-            {
-                held.stop = Some(0.0);
-                self.push.insert(machine.id.clone());
-            }
-        }
-    }
-}
-
-pub(super) fn describe(held: &mut Held, spec: &JobSpec) {
-    held.room = Some(Room::of(spec));
-    held.team = Some(spec.team.clone());
-    held.image = Some((spec.image.clone(), spec.image_gb));
-    held.priority = spec.priority;
-    held.save_s = if spec.checkpoint_s > 0.0 { spec.save_s } else { 0.0 };
-}
-
-/// What is left of a cancelled job, as its record tells.
-pub(super) fn describe_leaving(held: &mut Held, leaving: &Leaving) {
-    held.room = Some(leaving.need);
-    held.team = Some(leaving.team.clone());
 }
 
 #[cfg(test)]
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -1,8 +1,10 @@
+use super::super::owned_jobs::describe_leaving;
 use super::super::part_map::{Owner as MapOwner, Share};
 use super::super::quiet::Silence;
 use super::super::test_support::{map, owner, record, share};
 use super::super::view::{job_key, put};
 use super::*;
+use crate::ids::TaskId;
 
 /// Its owner may have changed without this process having read so; then somebody else answers
 /// it, and its tasks live on (hunted days of a starved controller).
--- a/src/core/token_bucket.rs
+++ b/src/core/token_bucket.rs
@@ -21,15 +21,20 @@
         self.rate = rate;
     }
 
-    /// Takes a token if there is one.
-    pub fn take(&mut self, now: Time) -> bool {
+    /// Whether there is a token.
+    pub fn has_token(&mut self, now: Time) -> bool {
         let gained = (now - self.filled) * self.rate;
         self.tokens = (self.tokens + gained).min(self.rate.max(1.0));
         self.filled = now;
-        if self.tokens < 1.0 {
-            return false;
+        self.tokens >= 1.0
+    }
+
+    /// Takes a token if there is one.
+    pub fn take(&mut self, now: Time) -> bool {
+        let taken = self.has_token(now);
+        if taken {
+            self.tokens -= 1.0;
         }
-        self.tokens -= 1.0;
-        true
+        taken
     }
 }
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -9,7 +9,8 @@
 use super::io::Io;
 use super::jobs::Task;
 use super::machines::{Freshness, Held, Phase};
-use super::owner::{Owner, describe, describe_leaving};
+use super::owned_jobs::{describe, describe_leaving};
+use super::owner::Owner;
 use super::placement::Room;
 use super::quiet::Silence;
 use super::view::View;
@@ -199,7 +200,10 @@
             TaskState::Exited => Phase::Exited(reported.why.unwrap_or(Exit::Other)),
             state => Phase::Seen(state),
         };
-        let held = machine.on.entry((task.clone(), attempt)).or_insert_with(|| Held::new(now));
+        let held = machine.on.entry((task.clone(), attempt)).or_insert_with(|| {
+            self.task_index.add(&task.job, id);
+            Held::new(now)
+        });
         if held.team.is_none()
             && let Some(record) = stored
         {
@@ -271,11 +275,10 @@
         if why == Exit::Done && job.spec.kind != Kind::Service {
             // Its exit may be forgotten only once it is recorded.
             job.set(task.index, Task::Done, zone);
-            job.dirty.get_or_insert(now);
             if job.is_gang() {
                 self.gang_done(&task.job);
             }
-            return;
+            return self.note_progress(&task.job, now);
         }
         held.forget = true;
         if !here {
@@ -319,6 +322,7 @@
         if machine.on.remove(&(task.clone(), attempt)).is_none() {
             return;
         }
+        self.task_index.remove(&task.job, id);
         if machine.idle() {
             machine.idle_since = now;
         }
@@ -419,6 +423,7 @@
             machine.id,
             spec.image
         );
+        self.task_index.add(&task.job, &machine.id);
         machine.on.insert((task, attempt), held);
         self.push.insert(machine.id.clone());
     }
--- a/src/core/upcoming/tests.rs
+++ b/src/core/upcoming/tests.rs
@@ -1,6 +1,6 @@
 use super::super::io::Io;
 use super::super::machines::{Held, Phase};
-use super::super::owner::describe;
+use super::super::owned_jobs::describe;
 use super::super::part_map::Share as MapShare;
 use super::super::quiet::Quiet;
 use super::super::test_support::{map, owner as map_owner, share};
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -11,7 +11,7 @@
 use ochredrum::wire::{JobSpec, Kind, Priority};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use world::{Event, Fault, Limits, MapFault, UpgradeOrder, Who, World};
+use world::{Event, Fault, LEASE_S, Limits, MapFault, UpgradeOrder, Who, World};
 
 fn spec(kind: Kind, tasks: u32) -> JobSpec {
     JobSpec {
@@ -397,6 +397,50 @@
     assert!(grew(|w| w.orders) <= 1.5, "{small:?} {large:?}");
 }
 
+/// What a fan of three hundred jobs, two chains of a hundred and their ends cost on a fleet of this
+/// many machines, most of which run two replicas: attempts and jobs looked at, rounds of placement,
+/// and seconds played.
+fn cost_of_pipelines(machines: usize) -> (u64, u64, f64) {
+    let replicas = machines * 2 - 60;
+    let text =
+        format!("controllers 5\nmachines {machines}\nat 2 job service {replicas} gpus=3\nuntil 40");
+    let mut world = play(&text);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let (began, before) = (world.now, world.core_work());
+    let mut small = spec(Kind::Array, 1);
+    small.gpus = 1.0;
+    let root = world.add_job(began + 0.1, small.clone(), 4.0);
+    let mut last = [root, root];
+    for number in 0..500 {
+        let needed = if number < 300 { root } else { last[number % 2] };
+        let job = JobSpec { dependencies: vec![world.job_id(needed)], ..small.clone() };
+        let added = world.add_job(began + 1.0 + number as f64 * 0.05, job, 1.0);
+        if number >= 300 {
+            last[number % 2] = added;
+        }
+    }
+    world.run(began + 400.0);
+    world.check_served();
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let after = world.core_work();
+    (after.0 - before.0, after.1 - before.1, world.now - began)
+}
+
+/// What happens to jobs costs in proportion to those jobs and their tasks, not to the fleet or to the
+/// width of what waits. Rounds of placement, which look at the whole share, are bounded by time.
+#[test]
+fn pipelines_cost_what_they_change() {
+    let (small, large) = (cost_of_pipelines(240), cost_of_pipelines(1100));
+    println!("{small:?} {large:?}");
+    let (visits, more_visits) = (small.0 as f64, large.0 as f64);
+    assert!(visits > 500.0 && visits < 501.0 * 100.0, "{small:?}");
+    assert!(more_visits < visits * 1.3, "{small:?} {large:?}");
+    for (_, rounds, seconds) in [small, large] {
+        // At most one in a four-hundredth of a lease, on each of five controllers.
+        assert!((rounds as f64) < seconds * 400.0 / LEASE_S * 5.0, "{rounds} in {seconds} s");
+    }
+}
+
 /// A day of random work and overlapping faults, calm in its last part.
 fn random_day(seed: u64) -> String {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -19,7 +19,7 @@
     Answer, CallId, CloudCall, CloudReply, Core, Effect, Input, RequestId, StateCall, StateReply,
     WorkerReply,
 };
-use ochredrum::ids::{MachineId, Node};
+use ochredrum::ids::{JobId, MachineId, Node};
 use ochredrum::wire::{DirectOrders, JobSpec, Report, Transaction, Write};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -819,6 +819,16 @@
         }
     }
 
+    pub fn job_id(&self, job: usize) -> JobId {
+        self.users.id(job)
+    }
+
+    /// What the controllers' shares have looked at because something happened, and rounds of placement.
+    pub fn core_work(&self) -> (u64, u64) {
+        let cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
+        cores.map(Core::work).fold((0, 0), |sum, work| (sum.0 + work.0, sum.1 + work.1))
+    }
+
     /// How often a controller has begun to lead.
     pub fn leaderships(&self) -> usize {
         self.state.puts_of("ochredrum/leader")
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -86,6 +86,10 @@
         self.jobs.iter().find(|job| job.id == *id)
     }
 
+    pub fn id(&self, job: usize) -> JobId {
+        self.jobs[job].id.clone()
+    }
+
     pub fn spec(&self, id: &JobId) -> Option<&JobSpec> {
         self.find(id).map(|job| &job.spec)
     }
