--- a/src/core/gather.rs
+++ b/src/core/consolidation.rs
@@ -1,4 +1,4 @@
-//! Gathering replicas: services end here and there, and what is left of them keeps machines that
+//! Consolidation of replicas: services end here and there, and what is left of them keeps machines that
 //! little runs on. When nothing waits and the plan has room to spare, the replicas of one machine
 //! at a time move to others that hold their images already, where they are up again at once;
 //! the empty machine serves what needs it whole, or is returned in time. Moving replicas is a drain, which the protocol allows.
@@ -25,7 +25,7 @@
 
 impl Owner {
     /// Empties the machine that costs most for each replica on it, if all of them fit elsewhere.
-    pub(super) fn gather(&mut self, bins: &[Bin], catalog: &Catalog, now: Time) {
+    pub(super) fn consolidate(&mut self, bins: &[Bin], catalog: &Catalog, now: Time) {
         let sources = bins.iter().filter(|bin| !bin.planned);
         let mut sources: Vec<Source> =
             sources.filter_map(|bin| self.source(bin, catalog, now)).collect();
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -7,7 +7,7 @@
 use super::machines::Machine;
 use super::owner::Owner;
 use super::placement::{Candidate, Late, Room, best_fit};
-use super::preempt;
+use super::preemption;
 use super::quota::Usage;
 use super::view::View;
 use crate::config::{Config, TeamLimits};
@@ -188,7 +188,7 @@
                 starts += chosen.len();
             }
             if missing > 0 {
-                let stops = preempt::make_room(self, &id, missing, &mut slots, &usage, now);
+                let stops = preemption::make_room(self, &id, missing, &mut slots, &usage, now);
                 for stop in stops {
                     self.stop(&stop.machine, &stop.task, stop.attempt, stop.grace);
                 }
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -132,7 +132,7 @@
         }
         let bins = plan.into_bins();
         if need.wants.is_empty() && need.queued == 0.0 && expects_none {
-            self.gather(&bins, catalog, now);
+            self.consolidate(&bins, catalog, now);
         }
         self.spare(&bins, catalog, now, need);
     }
