--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -1,10 +1,10 @@
 //! The machine types that the cloud offers, and which submissions can never run on any of them.
 
-use super::desk::least_need;
 use super::io::Pending;
 use super::placement::Room;
 use super::quota::within;
 use super::schedule::limits;
+use super::user_requests::least_need;
 use super::view::{LEADER_KEY, TYPES_KEY, guard, put};
 use super::{CloudCall, CloudReply, Core, StateCall, Time};
 use crate::config::Config;
--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -1,12 +1,12 @@
 //! The effects of a step, and what is to be done with each call's reply.
 
 use super::authority::AuthorityCall;
-use super::desk::DeskCall;
 use super::job_records::RecordWrite;
 use super::leader::MapWrite;
 use super::pacing::Pacing;
 use super::peers::{MeshMessage, MeshReply};
 use super::rebalance::CloudWork;
+use super::user_requests::UserWrite;
 use super::{Answer, CallId, CloudCall, Effect, RequestId, StateCall, StateReply, Time};
 use crate::ids::{Attempt, MachineId, Node, TaskId};
 use crate::wire::{DirectOrders, Write};
@@ -20,7 +20,7 @@
     Sync {
         sent: Time,
     },
-    Desk(DeskCall),
+    UserWrite(UserWrite),
     Authority(AuthorityCall),
     Records(Vec<RecordWrite>),
     Map(MapWrite),
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -8,7 +8,7 @@
 use super::part_map::{Owner, PartMap};
 use super::peers::Peers;
 use super::quiet::Quiet;
-use super::rebalance::CloudDesk;
+use super::rebalance::CloudRequests;
 use super::supply::{Need, Offer};
 use super::view::{LEADER_KEY, View, guard, node_key, put};
 use super::{StateCall, StateReply, Time};
@@ -54,7 +54,7 @@
     pub(super) next_round: Time,
     /// When a machine in use may next move for what waits.
     pub(super) next_urgent: Time,
-    pub(super) desk: CloudDesk,
+    pub(super) cloud: CloudRequests,
 }
 
 impl Leader {
@@ -77,12 +77,12 @@
             newcomers: BTreeMap::new(),
             next_round: now,
             next_urgent: now,
-            desk: CloudDesk::new(config, now, fresh),
+            cloud: CloudRequests::new(config, now, fresh),
         }
     }
 
     pub fn refused(&self) -> BTreeSet<Offer> {
-        self.desk.refused()
+        self.cloud.refused()
     }
 
     pub fn needs(&mut self, node: &Node, need: Need) {
@@ -247,7 +247,7 @@
     /// a controller without a team needs none.
     fn take_in(&mut self, living: &BTreeMap<Node, u64>) {
         for (id, offer) in std::mem::take(&mut self.newcomers) {
-            let meant = self.desk.arrived(&id, &offer);
+            let meant = self.cloud.arrived(&id, &offer);
             let meant = meant.filter(|node| living.contains_key(node) && self.teams_of(node) > 0);
             let Some(node) = meant.or_else(|| self.fewest_machines(living, &offer)) else {
                 continue;
@@ -263,7 +263,7 @@
         }
         for (id, owner) in &self.map.owners.machines {
             if let Some((same, all)) = counts.get_mut(&owner.node) {
-                *same += usize::from(self.desk.offer_of(id) == Some(offer));
+                *same += usize::from(self.cloud.offer_of(id) == Some(offer));
                 *all += 1;
             }
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,7 +6,6 @@
 pub mod catalog;
 pub mod consolidation;
 pub mod dependencies;
-pub mod desk;
 pub mod forecast;
 pub mod io;
 pub mod job_records;
@@ -35,6 +34,7 @@
 pub mod token_bucket;
 pub mod tracking;
 pub mod upcoming;
+pub mod user_requests;
 pub mod view;
 
 use crate::config::Config;
@@ -44,7 +44,6 @@
     Report, ReportAnswer, Transaction,
 };
 use authority::Authority;
-use desk::Desk;
 use io::{Io, Pending};
 use leader::Leader;
 use owner::Owner;
@@ -53,6 +52,7 @@
 use rand::rngs::StdRng;
 use serde_json::Value;
 use std::rc::Rc;
+use user_requests::UserRequests;
 use view::View;
 
 /// Seconds on the process's steady clock.
@@ -211,7 +211,7 @@
     config: Rc<Config>,
     io: Io,
     view: View,
-    desk: Desk,
+    user_requests: UserRequests,
     peers: Peers,
     authority: Authority,
     /// This process's share, while it is registered.
@@ -233,7 +233,7 @@
         Self {
             io: Io::new(rng, pacing::Pacing::new(&config)),
             view: View::new(&config),
-            desk: Desk::default(),
+            user_requests: UserRequests::default(),
             peers: Peers::new(&config),
             authority: Authority::new(&config, incarnation),
             owner: None,
@@ -319,7 +319,7 @@
                 self.synced(sent, reply);
                 self.authority.informed(self.view.current_as_of);
             }
-            Pending::Desk(pending) => self.desk_reply(pending, reply),
+            Pending::UserWrite(pending) => self.user_write_answered(pending, reply),
             Pending::Authority(pending) => self.authority_reply(pending, reply),
             Pending::Records(writes) => {
                 if let Some(owner) = self.owner.as_mut() {
@@ -349,7 +349,7 @@
     fn advance(&mut self) {
         let now = self.io.now;
         self.sync_when_due();
-        self.desk_timeouts();
+        self.time_out_user_requests();
         self.keep_authority();
         self.catalog_when_due();
         self.take_roles();
--- a/src/core/rebalance.rs
+++ b/src/core/rebalance.rs
@@ -46,7 +46,7 @@
 }
 
 /// The leader's dealings with the cloud.
-pub struct CloudDesk {
+pub struct CloudRequests {
     /// Until then what an earlier leader rented may not be listed yet.
     rent_after: Time,
     next_list: Time,
@@ -67,7 +67,7 @@
     pause_until: Time,
 }
 
-impl CloudDesk {
+impl CloudRequests {
     pub fn new(config: &Config, now: Time, fresh: bool) -> Self {
         let lag = config.deployment.cloud.list_lag_s;
         // Some of the rate is left to other controllers and to what a late request may use.
@@ -114,9 +114,9 @@
     // ---- between shares ----
 
     pub(super) fn rebalance(&mut self, living: &BTreeMap<Node, u64>, now: Time) {
-        for id in std::mem::take(&mut self.desk.deleted) {
+        for id in std::mem::take(&mut self.cloud.deleted) {
             self.map.remove_machine(&id);
-            self.desk.offers.remove(&id);
+            self.cloud.offers.remove(&id);
         }
         self.serve_wants(living, now);
         if now < self.next_round {
@@ -201,8 +201,8 @@
         let find = |list: fn(&Need) -> &Vec<MachineId>, fits: &dyn Fn(&Offer) -> bool| {
             self.needs.iter().filter(|(node, _)| *node != except).find_map(|(node, need)| {
                 let usable = |id: &&MachineId| {
-                    self.desk.offer_of(id).is_some_and(fits)
-                        && !self.desk.releases.contains(*id)
+                    self.cloud.offer_of(id).is_some_and(fits)
+                        && !self.cloud.releases.contains(*id)
                         && self.map.owners.machines.get(*id).is_some_and(|o| o.node == *node)
                 };
                 list(need).iter().find(usable).map(|id| (id.clone(), node.clone()))
@@ -219,7 +219,7 @@
     /// seen before the next.
     fn roomy_for(&mut self, want: &Want, to: &Node, now: Time) -> Option<(MachineId, Node)> {
         let urgency = want.urgency?;
-        let refused = |offer: &Offer| self.desk.refused.contains_key(offer);
+        let refused = |offer: &Offer| self.cloud.refused.contains_key(offer);
         if now < self.next_urgent || !want.any_of.iter().filter(|o| !o.2).all(refused) {
             return None;
         }
@@ -231,7 +231,7 @@
             .flat_map(|(node, need)| need.roomy.iter().map(move |(id, gpus)| (node, id, *gpus)))
             .filter(|(node, id, gpus)| {
                 *gpus >= want.gpus
-                    && self.desk.offer_of(id).is_some_and(|offer| want.any_of.contains(offer))
+                    && self.cloud.offer_of(id).is_some_and(|offer| want.any_of.contains(offer))
                     && self.map.owners.machines.get(*id).is_some_and(|o| o.node == **node)
             })
             .max_by(|a, b| a.2.total_cmp(&b.2));
@@ -294,27 +294,27 @@
     ) {
         let now = io.now;
         let lag = self.config.deployment.cloud.list_lag_s.max(1.0);
-        if now >= self.desk.next_plan && catalog.known() {
-            self.desk.next_plan = now + 1.0;
+        if now >= self.cloud.next_plan && catalog.known() {
+            self.cloud.next_plan = now + 1.0;
             self.plan(catalog, now, living);
         }
-        let desk = &mut self.desk;
-        if !desk.renting && !desk.open.is_empty() && desk.may_call(now) {
-            let order = desk.open.remove(0);
-            desk.renting = true;
+        let cloud = &mut self.cloud;
+        if !cloud.renting && !cloud.open.is_empty() && cloud.may_call(now) {
+            let order = cloud.open.remove(0);
+            cloud.renting = true;
             let rental = order.rental.clone();
             io.cloud(Some(CloudWork::Rent { term: self.term, order }), CloudCall::Rent(rental));
         }
-        if !desk.releasing && !desk.releases.is_empty() && desk.may_call(now) {
+        if !cloud.releasing && !cloud.releases.is_empty() && cloud.may_call(now) {
             let machines: Vec<MachineId> =
-                desk.releases.iter().take(RELEASE_LIMIT).cloned().collect();
-            desk.releasing = true;
+                cloud.releases.iter().take(RELEASE_LIMIT).cloned().collect();
+            cloud.releasing = true;
             let work = CloudWork::Release { term: self.term, machines: machines.clone() };
             io.cloud(Some(work), CloudCall::Release(MachineNames { machines }));
         }
-        if !desk.listing && now >= desk.next_list && desk.may_call(now) {
-            desk.listing = true;
-            desk.next_list = now + io.jitter(lag * 0.5);
+        if !cloud.listing && now >= cloud.next_list && cloud.may_call(now) {
+            cloud.listing = true;
+            cloud.next_list = now + io.jitter(lag * 0.5);
             let work = CloudWork::List { term: self.term, seen: Vec::new() };
             io.cloud(Some(work), CloudCall::List { after: None });
         }
@@ -323,7 +323,7 @@
     pub fn cloud_reply(&mut self, io: &mut Io, work: CloudWork, reply: CloudReply) {
         let now = io.now;
         if matches!(reply, CloudReply::Refused | CloudReply::Unknown) {
-            self.desk.pause_until = now + io.jitter(1.0 / self.config.deployment.cloud.rps);
+            self.cloud.pause_until = now + io.jitter(1.0 / self.config.deployment.cloud.rps);
         }
         match work {
             CloudWork::List { term, .. }
@@ -331,12 +331,12 @@
             | CloudWork::Release { term, .. }
                 if term != self.term => {}
             CloudWork::List { mut seen, .. } => {
-                self.desk.listing = false;
+                self.cloud.listing = false;
                 let CloudReply::List(page) = reply else { return };
                 let more = page.more && !page.machines.is_empty();
                 seen.extend(page.machines);
                 if more && seen.len() < LIST_LIMIT {
-                    self.desk.listing = true;
+                    self.cloud.listing = true;
                     let after = seen.last().map(|listed| listed.machine.to_string());
                     let work = CloudWork::List { term: self.term, seen };
                     io.cloud(Some(work), CloudCall::List { after });
@@ -345,17 +345,17 @@
                 }
             }
             CloudWork::Rent { order, .. } => {
-                self.desk.renting = false;
+                self.cloud.renting = false;
                 self.rented(order, reply, now);
             }
             CloudWork::Release { machines, .. } => {
-                self.desk.releasing = false;
+                self.cloud.releasing = false;
                 if reply == CloudReply::Released {
                     tracing::info!("returned {} machines", machines.len());
                     for id in machines {
-                        self.desk.releases.remove(&id);
-                        self.desk.coming.remove(&id);
-                        self.desk.deleted.push(id);
+                        self.cloud.releases.remove(&id);
+                        self.cloud.coming.remove(&id);
+                        self.cloud.deleted.push(id);
                     }
                 }
             }
@@ -374,21 +374,21 @@
                 let (type_name, zone) = (&rental.type_name, &rental.zone);
                 tracing::info!("rented {got} of {asked} {type_name} in {zone}{spot}");
                 if (got as u32) < asked {
-                    self.desk.refused.insert(offer.clone(), again);
+                    self.cloud.refused.insert(offer.clone(), again);
                 }
                 for (id, node) in names.machines.into_iter().zip(order.nodes) {
                     let node = Some(node);
                     let coming = Coming { offer: offer.clone(), rented: now, node };
-                    self.desk.coming.insert(id, coming);
+                    self.cloud.coming.insert(id, coming);
                 }
             }
             CloudReply::NoCapacity => {
-                self.desk.refused.insert(offer, again);
+                self.cloud.refused.insert(offer, again);
             }
             // Not executed: what is needed is planned anew.
             CloudReply::Refused => {}
             // Executed or not: the same name again has the same outcome.
-            _ => self.desk.open.push(order),
+            _ => self.cloud.open.push(order),
         }
     }
 
@@ -397,41 +397,41 @@
             let id = listed.machine;
             let offer = (listed.type_name, listed.zone, listed.spot);
             if listed.state == MachineState::Failed {
-                self.desk.releases.insert(id);
+                self.cloud.releases.insert(id);
             } else if listed.state == MachineState::Booting
                 && !self.map.owners.machines.contains_key(&id)
             {
                 let rented = now - listed.age_s;
                 let fresh = Coming { offer, rented, node: None };
-                self.desk.coming.entry(id).or_insert(fresh);
+                self.cloud.coming.entry(id).or_insert(fresh);
             } else {
-                self.desk.offers.insert(id, offer);
+                self.cloud.offers.insert(id, offer);
             }
         }
     }
 
     fn plan(&mut self, catalog: &Catalog, now: Time, living: &BTreeMap<Node, u64>) {
-        self.desk.refused.retain(|_, until| now < *until);
-        for (id, coming) in &self.desk.coming {
+        self.cloud.refused.retain(|_, until| now < *until);
+        for (id, coming) in &self.cloud.coming {
             let late = now - coming.rented > catalog.boot_s(&coming.offer.0) * LATE_BOOTS;
-            if late && self.desk.releases.insert(id.clone()) {
+            if late && self.cloud.releases.insert(id.clone()) {
                 tracing::info!("{id} does not come up and is returned");
             }
         }
         let needs = self.needs.values();
         let returned = needs.flat_map(|need| need.closed.iter().chain(&need.silent).cloned());
-        self.desk.releases.extend(returned.collect::<Vec<_>>());
-        if now < self.desk.rent_after || self.desk.renting || !self.desk.open.is_empty() {
+        self.cloud.releases.extend(returned.collect::<Vec<_>>());
+        if now < self.cloud.rent_after || self.cloud.renting || !self.cloud.open.is_empty() {
             return;
         }
         // Machines on their way that were rented for nobody serve whoever wants them first.
-        let mut unclaimed = self.desk.coming.values().filter(|c| c.node.is_none()).count() as u32;
+        let mut unclaimed = self.cloud.coming.values().filter(|c| c.node.is_none()).count() as u32;
         let mut lacks: BTreeMap<Offer, Vec<(&Node, u32)>> = BTreeMap::new();
         for node in living.keys() {
             let Some(need) = self.needs.get(node) else { continue };
             let for_node = |c: &&Coming| c.node.as_ref() == Some(node);
             let mut coming: BTreeMap<&Offer, u32> = BTreeMap::new();
-            for c in self.desk.coming.values().filter(for_node) {
+            for c in self.cloud.coming.values().filter(for_node) {
                 *coming.entry(&c.offer).or_default() += 1;
             }
             let mut of_node: BTreeMap<&Offer, u32> = BTreeMap::new();
@@ -451,7 +451,7 @@
             for (offer, count) in of_node {
                 let served = count.min(unclaimed);
                 unclaimed -= served;
-                if count > served && !self.desk.refused.contains_key(offer) {
+                if count > served && !self.cloud.refused.contains_key(offer) {
                     lacks.entry(offer.clone()).or_default().push((node, count - served));
                 }
             }
@@ -462,11 +462,11 @@
             let turns = (0..most).flat_map(|turn| counts.iter().filter(move |(_, n)| *n > turn));
             let nodes: Vec<Node> = turns.map(|(node, _)| (*node).clone()).collect();
             for nodes in nodes.chunks(RENT_LIMIT) {
-                self.desk.counter += 1;
-                let request = format!("r-{}-{}", self.term, self.desk.counter);
+                self.cloud.counter += 1;
+                let request = format!("r-{}-{}", self.term, self.cloud.counter);
                 let (type_name, zone, count) = (type_name.clone(), zone.clone(), nodes.len());
                 let rental = Rental { request, type_name, zone, spot, count: count as u32 };
-                self.desk.open.push(RentOrder { rental, nodes: nodes.to_vec() });
+                self.cloud.open.push(RentOrder { rental, nodes: nodes.to_vec() });
             }
         }
     }
--- a/src/core/desk.rs
+++ b/src/core/user_requests.rs
@@ -27,14 +27,14 @@
 }
 
 #[derive(Debug)]
-pub struct DeskCall {
-    asked: Asked,
+pub struct UserWrite {
+    asked: WaitingRequest,
     write: Write,
 }
 
 /// A request on its way.
 #[derive(Debug)]
-struct Asked {
+struct WaitingRequest {
     reply_to: ReplyTo,
     what: UserRequest,
     asked: Time,
@@ -47,8 +47,8 @@
 }
 
 #[derive(Default)]
-pub struct Desk {
-    waiting: Vec<Asked>,
+pub struct UserRequests {
+    waiting: Vec<WaitingRequest>,
 }
 
 /// Requests a controller keeps waiting at most, per MB of its memory limit.
@@ -66,9 +66,10 @@
     fn ask(&mut self, reply_to: ReplyTo, what: UserRequest) {
         let now = self.io.now;
         let (needs, not_before) = (now, now);
-        let asked = Asked { reply_to, what, asked: now, needs, not_before, created: false };
+        let asked =
+            WaitingRequest { reply_to, what, asked: now, needs, not_before, created: false };
         let limit = self.config.deployment.limits.mem_mb * WAITING_PER_MB;
-        if !self.view.complete() || self.desk.waiting.len() as f64 > limit {
+        if !self.view.complete() || self.user_requests.waiting.len() as f64 > limit {
             return self.give_up(asked);
         }
         let silent = self.view.state_silence(now) > SILENCE;
@@ -80,14 +81,14 @@
     }
 
     /// A submission that is new here is created; all else is read.
-    fn consider(&mut self, asked: Asked) {
+    fn consider(&mut self, asked: WaitingRequest) {
         match &asked.what {
             UserRequest::Submit(id, _) if self.view.job(id).is_none() => self.create(asked),
             _ => self.settle(asked),
         }
     }
 
-    fn create(&mut self, mut asked: Asked) {
+    fn create(&mut self, mut asked: WaitingRequest) {
         let UserRequest::Submit(id, spec) = &asked.what else { return };
         let record = JobRecord {
             stance: Stance::Pending,
@@ -116,7 +117,7 @@
         let behind = age > self.config.deployment.workers.report_s && !spec.dependencies.is_empty();
         if (refusal.is_some() || behind) && self.view.current_as_of < asked.needs {
             self.view.want_sync();
-            return self.desk.waiting.push(asked);
+            return self.user_requests.waiting.push(asked);
         }
         if let Some(problem) = refusal {
             let answer = Answer::value(422, serde_json::json!({"error": problem}));
@@ -132,20 +133,20 @@
         self.commit(asked, key, 0, write);
     }
 
-    fn commit(&mut self, mut asked: Asked, key: String, version: Version, write: Write) {
+    fn commit(&mut self, mut asked: WaitingRequest, key: String, version: Version, write: Write) {
         if !self.io.may_write() {
             asked.not_before = self.io.pacing.resume();
-            return self.desk.waiting.push(asked);
+            return self.user_requests.waiting.push(asked);
         }
         let transaction =
             Transaction { guards: vec![guard(&key, version)], writes: vec![write.clone()] };
-        let call = DeskCall { asked, write };
-        self.io.state(Pending::Desk(call), StateCall::Commit(transaction));
+        let call = UserWrite { asked, write };
+        self.io.state(Pending::UserWrite(call), StateCall::Commit(transaction));
     }
 
-    pub(super) fn desk_reply(&mut self, call: DeskCall, reply: StateReply) {
+    pub(super) fn user_write_answered(&mut self, call: UserWrite, reply: StateReply) {
         let now = self.io.now;
-        let DeskCall { mut asked, write } = call;
+        let UserWrite { mut asked, write } = call;
         match reply {
             StateReply::Committed(version) => {
                 let before = self.view.job(asked.what.job());
@@ -171,7 +172,7 @@
             }
             StateReply::Busy if now < asked.asked + BUSY_WAIT => {
                 asked.not_before = now + self.io.jitter(BUSY_WAIT / 6.0);
-                self.desk.waiting.push(asked);
+                self.user_requests.waiting.push(asked);
             }
             // Changed meanwhile, or perhaps written: what is there now decides.
             StateReply::Conflict | StateReply::Unknown => {
@@ -183,7 +184,7 @@
     }
 
     /// Answers if the view is current enough, else waits for it.
-    fn settle(&mut self, mut asked: Asked) {
+    fn settle(&mut self, mut asked: WaitingRequest) {
         let id = asked.what.job().clone();
         let known = self.view.job(&id).cloned();
         let ended = known.as_ref().is_some_and(|job| job.record.is_final());
@@ -192,7 +193,7 @@
         }
         if !ended && self.view.current_as_of < asked.needs {
             self.view.want_sync();
-            self.desk.waiting.push(asked);
+            self.user_requests.waiting.push(asked);
             return;
         }
         match (&asked.what, known) {
@@ -200,7 +201,7 @@
                 // Created or not, a repeat of the guarded create decides.
                 if asked.created {
                     asked.not_before = self.io.now + self.io.jitter(BUSY_WAIT / 6.0);
-                    self.desk.waiting.push(asked);
+                    self.user_requests.waiting.push(asked);
                 } else {
                     self.create(asked);
                 }
@@ -227,7 +228,7 @@
     /// A job is cancelled by its user, or with one that it needs. Nobody is told before that is
     /// recorded: a version that doesn't know of dependencies could tell users otherwise (upgrade
     /// days 2 and 34: a controller went back to such a version).
-    fn record_cancellation(&mut self, asked: Asked, job: &Versioned<Rc<JobRecord>>) {
+    fn record_cancellation(&mut self, asked: WaitingRequest, job: &Versioned<Rc<JobRecord>>) {
         let (key, wall_ms) = (job_key(asked.what.job()), self.io.wall_ms);
         let record = match self.view.doomed(asked.what.job()) {
             true => job.record.cancelled_unstarted(wall_ms),
@@ -263,14 +264,14 @@
 
     /// This controller cannot answer: a sibling that has the state service may; else the user
     /// is told at once when to come back.
-    fn give_up(&mut self, asked: Asked) {
+    fn give_up(&mut self, asked: WaitingRequest) {
         if self.has_state() {
             return self.reply(asked.reply_to, Answer::unavailable());
         }
         self.pass_on(asked);
     }
 
-    fn pass_on(&mut self, asked: Asked) {
+    fn pass_on(&mut self, asked: WaitingRequest) {
         let sibling = self.peers.with_state(self.io.now).cloned();
         let (ReplyTo::User(request), Some(node)) = (asked.reply_to, sibling) else {
             return self.reply(asked.reply_to, Answer::unavailable());
@@ -301,30 +302,30 @@
     }
 
     /// The view has moved on: those that waited for that get their answers.
-    pub(super) fn desk_synced(&mut self) {
+    pub(super) fn resume_user_requests(&mut self) {
         let current = self.view.current_as_of;
         let now = self.io.now;
-        let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.desk.waiting)
+        let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.user_requests.waiting)
             .into_iter()
             .partition(|asked| asked.needs <= current && asked.not_before <= now);
-        self.desk.waiting = waiting;
+        self.user_requests.waiting = waiting;
         for asked in ready {
             self.resume(asked);
         }
     }
 
-    fn resume(&mut self, mut asked: Asked) {
+    fn resume(&mut self, mut asked: WaitingRequest) {
         asked.created = false;
         self.consider(asked);
     }
 
-    pub(super) fn desk_timeouts(&mut self) {
+    pub(super) fn time_out_user_requests(&mut self) {
         let now = self.io.now;
         let has_state = self.has_state();
         let silence = self.view.state_silence(now);
         let mut index = 0;
-        while index < self.desk.waiting.len() {
-            let asked = &self.desk.waiting[index];
+        while index < self.user_requests.waiting.len() {
+            let asked = &self.user_requests.waiting[index];
             let wait = match asked.what {
                 UserRequest::Poll(_) => POLL_WAIT,
                 UserRequest::Submit(..) | UserRequest::Cancel(_) => WRITE_WAIT,
@@ -332,16 +333,16 @@
             let late = now > asked.asked + wait || (!has_state && silence > POLL_WAIT);
             let put_off = asked.not_before > asked.asked && asked.not_before <= now;
             if late {
-                let asked = self.desk.waiting.swap_remove(index);
+                let asked = self.user_requests.waiting.swap_remove(index);
                 self.give_up(asked);
             } else if put_off && self.view.current_as_of >= asked.needs {
-                let asked = self.desk.waiting.swap_remove(index);
+                let asked = self.user_requests.waiting.swap_remove(index);
                 self.resume(asked);
             } else {
                 index += 1;
             }
         }
-        if !self.desk.waiting.is_empty() {
+        if !self.user_requests.waiting.is_empty() {
             self.view.want_sync();
         }
     }
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -591,7 +591,7 @@
                 view.wanted = true;
             }
         }
-        self.desk_synced();
+        self.resume_user_requests();
     }
 }
 
