--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -136,7 +136,7 @@
 /// Whether a report is news.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Freshness {
-    News {
+    NewReport {
         new_session: bool,
     },
     /// Live, but something newer of the same session has been taken up.
@@ -228,7 +228,7 @@
             return Freshness::Overtaken;
         }
         self.seq = report.seq;
-        Freshness::News { new_session }
+        Freshness::NewReport { new_session }
     }
 
     /// Everything on it is gone, and nothing of its present session will count again.
--- a/src/core/machines/tests.rs
+++ b/src/core/machines/tests.rs
@@ -19,14 +19,17 @@
 #[test]
 fn copies_and_old_reports_are_recognised() {
     let mut machine = Machine::named("m-1".into(), Term(1), 0.0);
-    assert_eq!(machine.freshness(&report(1, 5), false), Freshness::News { new_session: false });
+    assert_eq!(
+        machine.freshness(&report(1, 5), false),
+        Freshness::NewReport { new_session: false }
+    );
     assert_eq!(machine.freshness(&report(1, 5), false), Freshness::Copy);
-    assert_eq!(machine.freshness(&report(1, 8), true), Freshness::News { new_session: false });
+    assert_eq!(machine.freshness(&report(1, 8), true), Freshness::NewReport { new_session: false });
     assert_eq!(machine.freshness(&report(1, 7), false), Freshness::Overtaken);
     assert_eq!(machine.freshness(&report(1, 6), false), Freshness::Copy);
     machine.end_session();
     assert_eq!(machine.freshness(&report(1, 99), false), Freshness::Copy);
-    assert_eq!(machine.freshness(&report(2, 1), false), Freshness::News { new_session: true });
+    assert_eq!(machine.freshness(&report(2, 1), false), Freshness::NewReport { new_session: true });
 }
 
 /// Its lease ran out under another owner, whose tasks then came here with it: they live in the
@@ -36,15 +39,24 @@
 fn a_session_from_before_the_hand_over_ends_nothing() {
     let mut machine = Machine::named("m-1".into(), Term(1), 0.0);
     machine.mine = true;
-    assert_eq!(machine.freshness(&report(1, 5), false), Freshness::News { new_session: false });
+    assert_eq!(
+        machine.freshness(&report(1, 5), false),
+        Freshness::NewReport { new_session: false }
+    );
     machine.change_hands(Term(2), false, 1.0);
     machine.change_hands(Term(3), true, 2.0);
     // Without our token: first a copy from long ago, then the living machine.
-    assert_eq!(machine.freshness(&report(1, 7), false), Freshness::News { new_session: false });
-    assert_eq!(machine.freshness(&report(2, 1), false), Freshness::News { new_session: false });
+    assert_eq!(
+        machine.freshness(&report(1, 7), false),
+        Freshness::NewReport { new_session: false }
+    );
+    assert_eq!(
+        machine.freshness(&report(2, 1), false),
+        Freshness::NewReport { new_session: false }
+    );
     let shows = |session, seq| Report { token: Term(3), ..report(session, seq) };
-    assert_eq!(machine.freshness(&shows(2, 2), false), Freshness::News { new_session: false });
-    assert_eq!(machine.freshness(&shows(3, 1), false), Freshness::News { new_session: true });
+    assert_eq!(machine.freshness(&shows(2, 2), false), Freshness::NewReport { new_session: false });
+    assert_eq!(machine.freshness(&shows(3, 1), false), Freshness::NewReport { new_session: true });
 }
 
 #[test]
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -134,7 +134,7 @@
     };
     share.take_task(&mut io, &view, &id, task.clone(), &shown);
     let news = |share: &Owner, view: &View| {
-        let news = share.news_for(&"n1".into(), view, None, Hints::new());
+        let news = share.update_for(&"n1".into(), view, None, Hints::new());
         (news.settled.len(), news.facts.len())
     };
     assert_eq!(news(&share, &view), (0, 0));
@@ -158,7 +158,7 @@
     let task = TaskId { job: "req-000001".into(), index: 0 };
     machine.on.insert((task, Attempt(1)), held);
     share.machines.insert(id.clone(), machine);
-    let news = |teams: &[&str]| super::super::news::News {
+    let news = |teams: &[&str]| super::super::peer_sync::PeerUpdate {
         revision: 7,
         teams: teams.iter().map(|team| Team::from(*team)).collect(),
         listening: false,
@@ -169,11 +169,11 @@
         refused: None,
         images: Hints::new(),
     };
-    share.take_news(&mut io, &view, &"n1".into(), 1, news(&[]));
+    share.take_update(&mut io, &view, &"n1".into(), 1, news(&[]));
     assert!(
         share.machines.contains_key(&id) && !share.teams[&Team::from("red")].unsettled.is_empty()
     );
-    share.take_news(&mut io, &view, &"n1".into(), 1, news(&["red"]));
+    share.take_update(&mut io, &view, &"n1".into(), 1, news(&["red"]));
     assert!(
         !share.machines.contains_key(&id) && share.teams[&Team::from("red")].unsettled.is_empty()
     );
--- a/src/core/news.rs
+++ b/src/core/peer_sync.rs
@@ -15,7 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct News {
+pub struct PeerUpdate {
     /// The sender's view of the state service was this far: it has seen every change of the map
     /// up to here, and starts nothing that those took from it.
     pub revision: Version,
@@ -27,9 +27,9 @@
     /// The sender's machines that have shown this term's token, or are known empty.
     pub settled: Vec<(MachineId, Term)>,
     /// Of those, the ones with tasks of the receiver's teams.
-    pub facts: Vec<Fact>,
+    pub facts: Vec<TaskObservation>,
     /// What the receiver is to do with the sender's teams' tasks on its machines.
-    pub wishes: Vec<Wish>,
+    pub wishes: Vec<TaskCommand>,
     /// To the leader: what the sender's share lacks and has to spare.
     pub need: Need,
     /// From the leader: what the cloud has none of at present.
@@ -40,7 +40,7 @@
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Fact {
+pub struct TaskObservation {
     pub machine: MachineId,
     pub term: Term,
     pub zone: Zone,
@@ -48,7 +48,7 @@
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Wish {
+pub struct TaskCommand {
     pub machine: MachineId,
     pub task: String,
     pub attempt: Attempt,
@@ -62,13 +62,13 @@
         std::mem::take(&mut self.hurry)
     }
 
-    pub fn news_for(
+    pub fn update_for(
         &self,
         node: &Node,
         view: &View,
         leader: Option<&Leader>,
         images: Hints,
-    ) -> News {
+    ) -> PeerUpdate {
         let owners = view.owners();
         let theirs: BTreeSet<&Team> =
             owners.teams.iter().filter(|(_, o)| o.node == *node).map(|(team, _)| team).collect();
@@ -81,14 +81,14 @@
                 if !tasks.is_empty() {
                     let (id, term, zone) =
                         (machine.id.clone(), machine.token, machine.zone.clone());
-                    facts.push(Fact { machine: id, term, zone, tasks });
+                    facts.push(TaskObservation { machine: id, term, zone, tasks });
                 }
             } else if !machine.mine
                 && owners.machines.get(&machine.id).is_some_and(|o| o.node == *node)
             {
                 for ((task, attempt), held) in &machine.on {
                     if held.stop.is_some() || held.forget {
-                        wishes.push(Wish {
+                        wishes.push(TaskCommand {
                             machine: machine.id.clone(),
                             task: task.to_string(),
                             attempt: *attempt,
@@ -99,7 +99,7 @@
                 }
             }
         }
-        News {
+        PeerUpdate {
             revision: view.revision(),
             teams: theirs.into_iter().cloned().collect(),
             listening: self.listening(),
@@ -129,13 +129,13 @@
             || self.machines.values().any(|m| !m.mine && !m.on.is_empty())
     }
 
-    pub fn take_news(
+    pub fn take_update(
         &mut self,
         io: &mut Io,
         view: &View,
         from: &Node,
         incarnation: u64,
-        news: News,
+        news: PeerUpdate,
     ) {
         if news.listening {
             self.hurry |= self.listeners.insert(from.clone());
@@ -154,29 +154,29 @@
             }
         }
         for wish in news.wishes {
-            self.grant(view, from, wish);
+            self.carry_out(view, from, wish);
         }
-        let mut facts: BTreeMap<MachineId, Fact> =
+        let mut facts: BTreeMap<MachineId, TaskObservation> =
             news.facts.into_iter().map(|fact| (fact.machine.clone(), fact)).collect();
         for (id, term) in news.settled {
             let current = |o: &super::part_map::Owner| o.is(from, incarnation) && o.term == term;
             // What a former owner says, or says of an earlier term, does not count.
             if view.owners().machines.get(&id).is_some_and(current) {
                 let fact = facts.remove(&id);
-                self.take_fact(io, view, &id, term, (news.revision, &news.teams), fact);
+                self.take_observation(io, view, &id, term, (news.revision, &news.teams), fact);
             }
         }
     }
 
     /// A sibling's machine is settled: these tasks of our teams are on it, and no others.
-    fn take_fact(
+    fn take_observation(
         &mut self,
         io: &mut Io,
         view: &View,
         id: &MachineId,
         term: Term,
         (revision, covers): (Version, &BTreeSet<Team>),
-        fact: Option<Fact>,
+        fact: Option<TaskObservation>,
     ) {
         let now = io.now;
         if fact.is_none() && !self.machines.contains_key(id) {
@@ -234,7 +234,7 @@
     }
 
     /// Carries out what a team's owner wants of a task on one of our machines.
-    fn grant(&mut self, view: &View, from: &Node, wish: Wish) {
+    fn carry_out(&mut self, view: &View, from: &Node, wish: TaskCommand) {
         let Some(task) = TaskId::parse(&wish.task) else { return };
         let Some(machine) = self.machines.get_mut(&wish.machine).filter(|m| m.mine) else { return };
         let Some(held) = machine.on.get_mut(&(task, wish.attempt)) else { return };
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -3,8 +3,8 @@
 
 use super::authority::Process;
 use super::io::Pending;
-use super::news::News;
 use super::owner::{Hints, Owner};
+use super::peer_sync::PeerUpdate;
 use super::quiet::Silence;
 use super::view::Finals;
 use super::{Answer, Body, Core, RequestId, Time, UserRequest};
@@ -45,7 +45,7 @@
     /// Machines that are known not to be answered any more under these terms.
     pub quiet: Vec<Silence>,
     /// What the sender's share has to tell the receiver's.
-    pub news: Option<News>,
+    pub news: Option<PeerUpdate>,
     /// The sender's syncs fail: it asks for final states after this version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub finals_after: Option<Version>,
@@ -215,7 +215,7 @@
                     (false, true) => owner.own_images(),
                     (false, false) => Hints::new(),
                 };
-                owner.news_for(&node, &self.view, self.leader.as_ref(), images)
+                owner.update_for(&node, &self.view, self.leader.as_ref(), images)
             });
             let hello = Hello {
                 from: self.peers.node.clone(),
@@ -280,7 +280,7 @@
                 leader.needs(&from, news.need.clone());
             }
             if let Some(owner) = self.owner.as_mut() {
-                owner.take_news(&mut self.io, &self.view, &from, incarnation, news);
+                owner.take_update(&mut self.io, &self.view, &from, incarnation, news);
             }
         }
         let reply = HelloReply {
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -71,7 +71,7 @@
         match machine.freshness(&report, false) {
             Freshness::Copy => return Some(Answer::unavailable()),
             Freshness::Overtaken => {}
-            Freshness::News { new_session } => {
+            Freshness::NewReport { new_session } => {
                 self.take_report(io, view, &report, new_session, true);
             }
         }
@@ -516,7 +516,7 @@
                 if report.machine != *id || report.token > token {
                     return;
                 }
-                if let Freshness::News { new_session } = machine.freshness(&report, true) {
+                if let Freshness::NewReport { new_session } = machine.freshness(&report, true) {
                     self.take_report(io, view, &report, new_session, false);
                 }
             }
