--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -336,7 +336,7 @@
         self.authority.lost(self.io.now + pause);
         if let Some(owner) = self.owner.take() {
             self.hints = owner.known_images();
-            self.quiet.note(owner.silences(self.io.now), self.io.now);
+            self.unresponsive.note(owner.unresponsive(self.io.now), self.io.now);
         }
         self.leader = None;
     }
--- a/src/core/job_records/tests.rs
+++ b/src/core/job_records/tests.rs
@@ -1,8 +1,8 @@
 use super::super::Effect;
 use super::super::jobs::Task;
 use super::super::part_map::Share;
-use super::super::quiet::Quiet;
 use super::super::test_support::{map, owner, record, share};
+use super::super::unresponsive::UnresponsiveMachines;
 use super::*;
 use std::rc::Rc;
 
@@ -20,7 +20,7 @@
     let (mut share, mut io, mut view) = share();
     let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
     map(&mut view, 5, vec![mine]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     let id = JobId::from("req-000001");
     view.apply_write(&put(&job_key(&id), &record(false), None), 9);
     share.take_job(&view, &id, &Rc::new(record(false)), 9, (0.0, 0));
@@ -51,7 +51,7 @@
     let (mut share, mut io, mut view) = share();
     let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
     map(&mut view, 5, vec![mine]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     let id = |number: u32| JobId::from(format!("req-{number:06}"));
     for number in 0..11 {
         view.apply_write(&put(&job_key(&id(number)), &record(false), None), 9);
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -7,9 +7,9 @@
 use super::io::{Io, Pending};
 use super::part_map::{Owner, PartMap};
 use super::peers::Peers;
-use super::quiet::Quiet;
 use super::rebalance::CloudRequests;
 use super::supply::{Need, Offer};
+use super::unresponsive::UnresponsiveMachines;
 use super::view::{LEADER_KEY, View, guard, node_key, put};
 use super::{StateCall, StateReply, Time};
 use crate::config::Config;
@@ -104,7 +104,7 @@
         authority: &mut Authority,
         peers: &Peers,
         catalog: &Catalog,
-        quiet: &Quiet,
+        quiet: &UnresponsiveMachines,
     ) {
         let now = io.now;
         self.terms.clear();
@@ -169,7 +169,7 @@
         view: &View,
         authority: &mut Authority,
         peers: &Peers,
-        quiet: &Quiet,
+        quiet: &UnresponsiveMachines,
         living: &BTreeMap<Node, u64>,
         now: Time,
     ) -> Vec<Guard> {
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -123,7 +123,7 @@
     /// It is to get a fresh token, so that what may still be under way to it is void.
     pub raise: bool,
     /// It was said to be silent under the present term, and is not answered until it has a new one.
-    pub quiet: bool,
+    pub unresponsive: bool,
     /// Since when it could have reported under the present token.
     pub awaited: Time,
     /// Jobs that failed on it.
@@ -176,7 +176,7 @@
             releasing: false,
             emptying: false,
             raise: false,
-            quiet: false,
+            unresponsive: false,
             awaited: now,
             failed_jobs: BTreeSet::new(),
             aside_until: 0.0,
@@ -251,7 +251,7 @@
         self.token = token;
         self.trusted = false;
         self.raise = false;
-        self.quiet = false;
+        self.unresponsive = false;
         self.awaited = now;
         self.releasing = false;
         self.emptying = false;
@@ -322,7 +322,7 @@
             && !self.releasing
             && !self.emptying
             && !self.raise
-            && !self.quiet
+            && !self.unresponsive
             && self.leaves.is_none()
             && now >= self.aside_until
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,7 +21,6 @@
 pub mod placement;
 pub mod plan;
 pub mod preemption;
-pub mod quiet;
 pub mod quota;
 pub mod ranges;
 pub mod rebalance;
@@ -33,6 +32,7 @@
 mod test_support;
 pub mod token_bucket;
 pub mod tracking;
+pub mod unresponsive;
 pub mod upcoming;
 pub mod user_requests;
 pub mod view;
@@ -221,7 +221,7 @@
     catalog: catalog::Catalog,
     /// What siblings told of machines' images before there was a share.
     hints: owner::Hints,
-    quiet: quiet::Quiet,
+    unresponsive: unresponsive::UnresponsiveMachines,
     relays: report_routing::Relays,
 }
 
@@ -240,7 +240,7 @@
             leader: None,
             catalog: catalog::Catalog::default(),
             hints: owner::Hints::new(),
-            quiet: quiet::Quiet::default(),
+            unresponsive: unresponsive::UnresponsiveMachines::default(),
             relays: report_routing::Relays::new(&config),
             config,
         }
@@ -355,7 +355,7 @@
         self.take_roles();
         if self.authority.entitled(now) {
             if let Some(owner) = self.owner.as_mut() {
-                owner.advance(&mut self.io, &mut self.view, &self.catalog, &self.quiet);
+                owner.advance(&mut self.io, &mut self.view, &self.catalog, &self.unresponsive);
                 owner.plan_when_due(&self.io, &self.view, &self.catalog);
                 if !owner.has_machines() {
                     // Nobody to hear from: silence says nothing.
@@ -376,7 +376,7 @@
                     &mut self.authority,
                     &self.peers,
                     &self.catalog,
-                    &self.quiet,
+                    &self.unresponsive,
                 );
             }
         }
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -12,10 +12,10 @@
 use super::machines::{Held, Machine};
 use super::part_map;
 use super::placement::{Room, Weights};
-use super::quiet::Quiet;
 use super::supply::{Need, Offer};
 use super::task_index::TaskIndex;
 use super::token_bucket::TokenBucket;
+use super::unresponsive::UnresponsiveMachines;
 use super::view::{JobRecord, View};
 use crate::config::Config;
 use crate::ids::{Attempt, Image, JobId, MachineId, Node, Team, Term, Version};
@@ -123,7 +123,13 @@
         }
     }
 
-    pub fn advance(&mut self, io: &mut Io, view: &mut View, catalog: &Catalog, quiet: &Quiet) {
+    pub fn advance(
+        &mut self,
+        io: &mut Io,
+        view: &mut View,
+        catalog: &Catalog,
+        quiet: &UnresponsiveMachines,
+    ) {
         let now = io.now;
         self.follow_map(io, view, quiet);
         for id in view.take_changed() {
@@ -160,7 +166,7 @@
                 machine.former_let_go(now);
             }
         }
-        self.declare_quiet(view, now);
+        self.declare_unresponsive(view, now);
         self.expire_machines(view, now);
     }
 
@@ -187,7 +193,7 @@
     // ---- the share ----
 
     /// Takes up what the map gives this process, and lets go of what it gives to others.
-    pub(super) fn follow_map(&mut self, io: &mut Io, view: &View, quiet: &Quiet) {
+    pub(super) fn follow_map(&mut self, io: &mut Io, view: &View, quiet: &UnresponsiveMachines) {
         if self.map_seen.replace(view.map_changes()) == Some(view.map_changes()) {
             return;
         }
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -1,7 +1,7 @@
 use super::super::owned_jobs::describe_leaving;
 use super::super::part_map::{Owner as MapOwner, Share};
-use super::super::quiet::Silence;
 use super::super::test_support::{map, owner, record, share};
+use super::super::unresponsive::Unresponsive;
 use super::super::view::{job_key, put};
 use super::*;
 use crate::ids::TaskId;
@@ -13,7 +13,7 @@
     let (mut share, mut io, mut view) = share();
     let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
     map(&mut view, 5, vec![mine]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     view.current_as_of = 9.0;
     share.expire_machines(&view, 60.0);
     assert!(!share.machines[&MachineId::from("m-1")].empty);
@@ -27,8 +27,8 @@
 #[test]
 fn the_lease_of_a_silent_machine_is_counted_on_through_a_hand_over() {
     let (mut share, mut io, mut view) = share();
-    let mut quiet = Quiet::default();
-    let said = |id: &str| Silence { machine: id.into(), term: Term(8), age: 6.0 };
+    let mut quiet = UnresponsiveMachines::default();
+    let said = |id: &str| Unresponsive { machine: id.into(), term: Term(8), age: 6.0 };
     quiet.note([said("m-1"), said("m-2")], 20.0);
     let known = MapOwner { prior: Some(Term(8)), ..owner("n0") };
     let chain = Share { owner: known, teams: vec![], machines: vec!["m-1".into()] };
@@ -48,7 +48,7 @@
     let (mut share, mut io, mut view) = share();
     let machines = vec!["m-1".into(), "m-2".into()];
     map(&mut view, 5, vec![Share { owner: owner("n0"), teams: vec!["red".into()], machines }]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     let first = share.machines.get_mut(&MachineId::from("m-1")).unwrap();
     first.trusted = true;
     first.total = Room { cpus: 32.0, gpus: 8.0, memory_gb: 100.0 };
@@ -73,7 +73,7 @@
     let (mut share, mut io, mut view) = share();
     let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
     map(&mut view, 5, vec![mine]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     let report = |seq| crate::wire::Report {
         machine: "m-1".into(),
         address: "a".into(),
@@ -95,11 +95,11 @@
     let lease = share.config.deployment.workers.lease_s;
     let mut current = View::new(&share.config);
     current.current_as_of = 1.0 + lease * 0.75;
-    share.declare_quiet(&current, 1.0 + lease * 0.75);
-    assert!(share.silences(lease).is_empty(), "hearing nobody says nothing of one");
+    share.declare_unresponsive(&current, 1.0 + lease * 0.75);
+    assert!(share.unresponsive(lease).is_empty(), "hearing nobody says nothing of one");
     share.heard = 1.0 + lease * 0.75;
-    share.declare_quiet(&current, 1.0 + lease * 0.75);
-    assert_eq!(share.silences(lease).len(), 1);
+    share.declare_unresponsive(&current, 1.0 + lease * 0.75);
+    assert_eq!(share.unresponsive(lease).len(), 1);
     assert_eq!(checkin(&mut share, &mut io, 1.0 + lease * 0.78, 2), 503);
     assert_eq!(share.need.raise, [("m-1".into(), Term(9))]);
     // With a fresh token it is heard again, and has the time to be.
@@ -107,10 +107,10 @@
     let mine = Share { owner: fresh, teams: vec![], machines: vec!["m-1".into()] };
     map(&mut view, 6, vec![mine]);
     io.begin(1.0 + lease * 0.8, 0);
-    share.follow_map(&mut io, &view, &Quiet::default());
-    share.declare_quiet(&current, 1.0 + lease * 0.8);
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
+    share.declare_unresponsive(&current, 1.0 + lease * 0.8);
     let machine = &share.machines[&MachineId::from("m-1")];
-    assert!(!machine.quiet && machine.token == Term(10));
+    assert!(!machine.unresponsive && machine.token == Term(10));
 }
 
 /// A leader owns a machine by its own write, before it has read the jobs that came before.
@@ -120,7 +120,7 @@
     let mine = Share { owner: owner("n0"), teams: vec![], machines: vec!["m-1".into()] };
     let other = Share { owner: owner("n1"), teams: vec!["red".into()], machines: vec![] };
     map(&mut view, 5, vec![mine, other]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     share.listeners.insert("n1".into());
     let id = MachineId::from("m-1");
     share.machines.get_mut(&id).unwrap().trusted = true;
@@ -150,7 +150,7 @@
     let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
     let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
     map(&mut view, 5, vec![mine, other]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     let id = MachineId::from("m-1");
     let mut machine = Machine::named(id.clone(), Term(9), 0.0);
     let mut held = Held::new(0.0);
@@ -187,7 +187,7 @@
     let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
     let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
     map(&mut view, 105, vec![mine, other]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     let ids = ["req-000001", "req-000002", "req-000003"].map(JobId::from);
     for (id, version, done) in [(&ids[0], 100, false), (&ids[1], 107, true), (&ids[2], 108, false)]
     {
@@ -214,7 +214,7 @@
     }
     let mine = |teams| Share { owner: owner("n0"), teams, machines: vec!["m-1".into()] };
     map(&mut view, 60, vec![mine(vec!["red".into()])]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     io.begin(1.0, now_ms);
     let used = |share: &Owner, view: &View| share.usage(view, now_ms).gpus(&"red".into());
     assert_eq!(used(&share, &view), 0.0, "long gone");
@@ -274,7 +274,7 @@
     let ids: Vec<MachineId> = (0..150).map(|n| MachineId::from(format!("m-{n:03}"))).collect();
     let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: ids.clone() };
     map(&mut view, 5, vec![mine]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     for (index, id) in (0..).zip(&ids) {
         let machine = share.machines.get_mut(id).unwrap();
         machine.trusted = true;
@@ -301,7 +301,7 @@
     let (mut share, mut io, mut view) = share();
     let mine = Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec![] };
     map(&mut view, 5, vec![mine]);
-    share.follow_map(&mut io, &view, &Quiet::default());
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     let mut waiting = JobRecord { accepted_ms: 10_000, ..record(false) };
     let spec = Rc::make_mut(waiting.spec.as_mut().unwrap());
     spec.dependencies = vec!["req-000001".into(), "req-000002".into()];
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -5,7 +5,7 @@
 use super::io::Pending;
 use super::owner::{Hints, Owner};
 use super::peer_sync::PeerUpdate;
-use super::quiet::Silence;
+use super::unresponsive::Unresponsive;
 use super::view::Finals;
 use super::{Answer, Body, Core, RequestId, Time, UserRequest};
 use crate::config::Config;
@@ -43,7 +43,7 @@
     /// Tasks done and running, of jobs that run in the sender's share.
     pub running: Vec<(JobId, u32, u32)>,
     /// Machines that are known not to be answered any more under these terms.
-    pub quiet: Vec<Silence>,
+    pub quiet: Vec<Unresponsive>,
     /// What the sender's share has to tell the receiver's.
     pub news: Option<PeerUpdate>,
     /// The sender's syncs fail: it asks for final states after this version.
@@ -194,12 +194,12 @@
         let (wants_voucher, wants_consent) =
             (self.authority.wants_voucher(now).is_some(), self.authority.wanted_consents());
         if let Some(owner) = &self.owner {
-            self.quiet.note(owner.silences(now), now);
+            self.unresponsive.note(owner.unresponsive(now), now);
         }
         if self.view.complete() {
-            self.quiet.prune(self.view.owners());
+            self.unresponsive.prune(self.view.owners());
         }
-        let quiet = self.quiet.all(now);
+        let quiet = self.unresponsive.all(now);
         let behind = now - self.view.current_as_of > self.peers.recent;
         let finals_after = (behind && self.view.complete()).then(|| self.view.finals_known());
         let nodes: Vec<Node> = self.peers.peers.keys().cloned().collect();
@@ -256,7 +256,7 @@
             return self.io.mesh_answer(request, MeshReply::Noted);
         };
         // True whenever it was said: that it arrives late only makes it weaker.
-        self.quiet.note(quiet, now);
+        self.unresponsive.note(quiet, now);
         // Held up in the network, hellos arrive late: what they tell is then left out.
         let late = peer.newest.0 == incarnation && peer.newest.1 >= hello.number;
         let sends_workers = now - peer.sent_worker < self.peers.recent;
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -143,7 +143,7 @@
             let leaving = machine.leaves.is_some() || now < machine.aside_until;
             machine.mine
                 && !leaving
-                && !machine.quiet
+                && !machine.unresponsive
                 && now <= machine.answered + lease
                 && !machine.address.is_empty()
         });
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -12,7 +12,7 @@
 use super::owned_jobs::{describe, describe_leaving};
 use super::owner::Owner;
 use super::placement::Room;
-use super::quiet::Silence;
+use super::unresponsive::Unresponsive;
 use super::view::View;
 use super::{Answer, Body, Time, WorkerReply};
 use crate::ids::{Attempt, JobId, MachineId, TaskId};
@@ -24,7 +24,7 @@
 /// Part of a lease after which a machine that is not heard is said to be silent. A worker that does
 /// not reach its owner is with another controller, which relays its reports, before that: after a
 /// report time, 4 s without an answer and a pause of 1 s.
-const QUIET_LEASE: f64 = 0.7;
+const UNRESPONSIVE_LEASES: f64 = 0.7;
 /// Direct orders under way at once at most, as a part of the limit on sockets. What is over goes in
 /// the answers to the next reports, or as soon as others have been answered.
 const ORDERS_PER_SOCKET: f64 = 0.15;
@@ -77,7 +77,7 @@
         }
         self.heard = now;
         let machine = self.machines.get_mut(&id)?;
-        if machine.quiet {
+        if machine.unresponsive {
             // Its last answer has been told to be the last under this term.
             machine.raise = true;
             self.hurry |= self.need.raise(&id, machine.token);
@@ -339,24 +339,24 @@
     /// terms, so that their next owners need not wait as long as if they had been until the end.
     /// Not while this process hears nobody, for then the trouble is its own, nor while it could not
     /// get them fresh tokens.
-    pub(super) fn declare_quiet(&mut self, view: &View, now: Time) {
+    pub(super) fn declare_unresponsive(&mut self, view: &View, now: Time) {
         let workers = &self.config.deployment.workers;
         if now > self.heard + workers.report_s || now > view.current_as_of + workers.report_s {
             return;
         }
-        let silence = workers.lease_s * QUIET_LEASE;
+        let silence = workers.lease_s * UNRESPONSIVE_LEASES;
         for machine in self.machines.values_mut() {
             let since = machine.answered.max(machine.awaited);
             let silent = now > since + silence && machine.former.is_none();
-            machine.quiet |= machine.mine && silent;
+            machine.unresponsive |= machine.mine && silent;
         }
     }
 
     /// What siblings are to know of machines that are not answered any more.
-    pub(super) fn silences(&self, now: Time) -> Vec<Silence> {
-        let quiet = self.machines.values().filter(|machine| machine.mine && machine.quiet);
+    pub(super) fn unresponsive(&self, now: Time) -> Vec<Unresponsive> {
+        let quiet = self.machines.values().filter(|machine| machine.mine && machine.unresponsive);
         quiet
-            .map(|machine| Silence {
+            .map(|machine| Unresponsive {
                 machine: machine.id.clone(),
                 term: machine.token,
                 age: now - machine.answered,
--- a/src/core/quiet.rs
+++ b/src/core/unresponsive.rs
@@ -15,7 +15,7 @@
 
 /// A machine that is not answered under this term any more.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Silence {
+pub struct Unresponsive {
     pub machine: MachineId,
     pub term: Term,
     /// Seconds since its last answer, when this was sent.
@@ -23,13 +23,13 @@
 }
 
 #[derive(Default)]
-pub struct Quiet(BTreeMap<MachineId, (Term, Time)>);
+pub struct UnresponsiveMachines(BTreeMap<MachineId, (Term, Time)>);
 
-impl Quiet {
+impl UnresponsiveMachines {
     /// Takes up what was said, here or elsewhere. Messages take time, so of several words on one
     /// term the one that puts the last answer earliest is nearest to the truth.
-    pub fn note(&mut self, said: impl IntoIterator<Item = Silence>, now: Time) {
-        for Silence { machine, term, age } in said {
+    pub fn note(&mut self, said: impl IntoIterator<Item = Unresponsive>, now: Time) {
+        for Unresponsive { machine, term, age } in said {
             let answered = now - age * (1.0 - DRIFT);
             let known = self.0.entry(machine).or_insert((term, answered));
             if term > known.0 || (term == known.0 && answered < known.1) {
@@ -46,9 +46,9 @@
         });
     }
 
-    pub fn all(&self, now: Time) -> Vec<Silence> {
+    pub fn all(&self, now: Time) -> Vec<Unresponsive> {
         let said = self.0.iter();
-        said.map(|(id, (term, answered))| Silence {
+        said.map(|(id, (term, answered))| Unresponsive {
             machine: id.clone(),
             term: *term,
             age: now - answered,
--- a/src/core/quiet/tests.rs
+++ b/src/core/unresponsive/tests.rs
@@ -2,8 +2,8 @@
 
 #[test]
 fn only_the_term_it_was_said_of_counts() {
-    let said = |term, age| [Silence { machine: "m-1".into(), term: Term(term), age }];
-    let mut quiet = Quiet::default();
+    let said = |term, age| [Unresponsive { machine: "m-1".into(), term: Term(term), age }];
+    let mut quiet = UnresponsiveMachines::default();
     let id = MachineId::from("m-1");
     quiet.note(said(5, 8.0), 20.0);
     let at = quiet.answered(&id, Term(5)).unwrap();
--- a/src/core/upcoming/tests.rs
+++ b/src/core/upcoming/tests.rs
@@ -2,8 +2,8 @@
 use super::super::machines::{Held, Phase};
 use super::super::owned_jobs::describe;
 use super::super::part_map::Share as MapShare;
-use super::super::quiet::Quiet;
 use super::super::test_support::{map, owner as map_owner, share};
+use super::super::unresponsive::UnresponsiveMachines;
 use super::super::view::{job_key, put};
 use super::*;
 use crate::ids::{Attempt, TaskId, Version};
@@ -33,7 +33,7 @@
         let machines = vec!["m-1".into()];
         let mine = MapShare { owner: map_owner("n0"), teams: vec!["red".into()], machines };
         map(&mut view, 1, vec![mine]);
-        owner.follow_map(&mut io, &view, &Quiet::default());
+        owner.follow_map(&mut io, &view, &UnresponsiveMachines::default());
         Self { owner, io, view }
     }
 
