--- a/src/core/cancelled.rs
+++ b/src/core/cancelled.rs
@@ -7,7 +7,7 @@
 
 use super::view::JobRecord;
 use crate::ids::{JobId, Version};
-use crate::wire::Stance;
+use crate::wire::JobStatus;
 use std::collections::BTreeSet;
 
 /// From when on cancelled jobs count.
@@ -32,7 +32,7 @@
 impl CancelledJobs {
     /// Takes up a final record.
     pub fn take(&mut self, id: &JobId, record: &JobRecord, version: Version) {
-        if record.stance != Stance::Cancelled {
+        if record.stance != JobStatus::Cancelled {
             return;
         }
         match record.ended_ms.filter(|_| record.leaving.is_some()) {
--- a/src/core/dependencies.rs
+++ b/src/core/dependencies.rs
@@ -7,7 +7,7 @@
 
 use super::view::JobRecord;
 use crate::ids::JobId;
-use crate::wire::{Priority, Stance};
+use crate::wire::{JobStatus, Priority};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How urgent a job is, by itself and for those that need it.
@@ -84,7 +84,7 @@
             self.doomed.remove(id);
             self.inherited.remove(id);
             let dependents = self.dependents.remove(id).unwrap_or_default();
-            if record.stance == Stance::Cancelled {
+            if record.stance == JobStatus::Cancelled {
                 self.doom(dependents.iter().cloned().collect(), changed);
             }
             return changed.extend(dependents);
@@ -94,7 +94,7 @@
         for needed in &spec.dependencies {
             // A full read shows jobs in the order of their ids, perhaps before those they need.
             let needs = job(needed);
-            doomed |= needs.is_some_and(|needs| needs.stance == Stance::Cancelled);
+            doomed |= needs.is_some_and(|needs| needs.stance == JobStatus::Cancelled);
             doomed |= self.doomed.contains(needed);
             if !needs.is_some_and(JobRecord::is_final) {
                 self.dependents.entry(needed.clone()).or_default().insert(id.clone());
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Shares of processes that have ended go to the restarted controller, or to an heir as a
+    /// Shares of processes that have ended go to the restarted controller, or to an successor as a
     /// whole, so that teams stay with the machines their tasks are on.
     fn hand_on(
         &mut self,
@@ -199,12 +199,12 @@
             if !authority.lapsed(&process, view, peers, now) {
                 continue;
             }
-            let heir = match living.get(&process.0) {
+            let successor = match living.get(&process.0) {
                 Some(incarnation) => Some((process.0.clone(), *incarnation)),
                 None => self.fewest_teams(living),
             };
-            let Some((heir, incarnation)) = heir else { continue };
-            tracing::info!("the share of {} goes to {heir}", process.0);
+            let Some((successor, incarnation)) = successor else { continue };
+            tracing::info!("the share of {} goes to {successor}", process.0);
             // It has lapsed as of this version of its key.
             let registered = view.node(&process.0).map_or(0, |n| n.version);
             guards.push(guard(&node_key(&process.0), registered));
@@ -223,10 +223,10 @@
                 })
                 .collect();
             for team in teams {
-                self.give_team(&team, &heir, incarnation);
+                self.give_team(&team, &successor, incarnation);
             }
             for (id, former, prior) in machines {
-                if let Some(owner) = self.owner(&heir, incarnation) {
+                if let Some(owner) = self.owner(&successor, incarnation) {
                     self.map.set_machine(&id, Owner { former, prior, ..owner });
                 }
             }
--- a/src/core/test_support.rs
+++ b/src/core/test_support.rs
@@ -7,7 +7,7 @@
 use super::view::{JobRecord, MAP_PREFIX, View, put};
 use crate::config::Config;
 use crate::ids::{Term, Version};
-use crate::wire::{JobSpec, MachineType, Stance};
+use crate::wire::{JobSpec, JobStatus, MachineType};
 use rand::SeedableRng;
 use std::rc::Rc;
 
@@ -21,7 +21,7 @@
     }
     let spec = Some(Rc::new(serde_json::from_value(spec).unwrap()));
     JobRecord {
-        stance: Stance::Pending,
+        stance: JobStatus::Pending,
         accepted_ms: 0,
         tasks: 2,
         done: ranges,
--- a/src/core/upcoming.rs
+++ b/src/core/upcoming.rs
@@ -12,7 +12,7 @@
 use super::schedule::limits;
 use super::view::{JobRecord, View};
 use crate::ids::{JobId, MachineId};
-use crate::wire::{JobSpec, Kind, Stance};
+use crate::wire::{JobSpec, JobStatus, Kind};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -78,7 +78,8 @@
 
     /// Jobs of our teams that need nothing but what is done or in `ending`.
     fn ready_after(&self, view: &View, ending: &BTreeSet<&JobId>) -> Vec<Rc<JobSpec>> {
-        let done = |id: &JobId| view.job(id).is_some_and(|job| job.record.stance == Stance::Done);
+        let done =
+            |id: &JobId| view.job(id).is_some_and(|job| job.record.stance == JobStatus::Done);
         let dependents: BTreeSet<&JobId> =
             ending.iter().flat_map(|id| view.dependents(id)).collect();
         let mut specs = Vec::new();
--- a/src/core/user_requests.rs
+++ b/src/core/user_requests.rs
@@ -7,7 +7,7 @@
 use super::view::{JobRecord, Versioned, guard, job_key, put};
 use super::{Answer, Body, Core, RequestId, StateCall, StateReply, Time, UserRequest};
 use crate::ids::{JobId, Team, Version};
-use crate::wire::{JobSpec, Kind, Stance, Transaction, Write, stance_answer, state_answer};
+use crate::wire::{JobSpec, JobStatus, Kind, Transaction, Write, state_answer, status_answer};
 use std::rc::Rc;
 
 /// Users wait 2 s for an answer to a poll; this leaves room for a relay.
@@ -91,7 +91,7 @@
     fn create(&mut self, mut asked: WaitingRequest) {
         let UserRequest::Submit(id, spec) = &asked.what else { return };
         let record = JobRecord {
-            stance: Stance::Pending,
+            stance: JobStatus::Pending,
             accepted_ms: self.io.wall_ms,
             tasks: spec.tasks,
             done: Default::default(),
@@ -156,14 +156,14 @@
                 match &asked.what {
                     UserRequest::Submit(id, _) if asked.created => {
                         let recorded = self.view.job(id).map(|job| job.record.stance);
-                        let stance = recorded.unwrap_or(Stance::Pending);
-                        let answer = Answer::value(201, stance_answer(id, stance));
+                        let stance = recorded.unwrap_or(JobStatus::Pending);
+                        let answer = Answer::value(201, status_answer(id, stance));
                         self.reply(asked.reply_to, answer);
                     }
                     UserRequest::Cancel(id) => {
                         let id = id.clone();
                         self.tell_owner(&id, team.as_ref());
-                        let answer = Answer::value(200, stance_answer(&id, Stance::Cancelled));
+                        let answer = Answer::value(200, status_answer(&id, JobStatus::Cancelled));
                         self.reply(asked.reply_to, answer);
                     }
                     // Its cancellation with what it needs is recorded now.
@@ -209,7 +209,7 @@
             (_, None) => self.reply(asked.reply_to, Answer::empty(404)),
             (UserRequest::Submit(..), Some(job)) => {
                 let stance = self.display(&id, &job.record).0;
-                self.reply(asked.reply_to, Answer::value(200, stance_answer(&id, stance)));
+                self.reply(asked.reply_to, Answer::value(200, status_answer(&id, stance)));
             }
             (UserRequest::Poll(_), Some(job)) => {
                 let (stance, done, running) = self.display(&id, &job.record);
@@ -218,7 +218,7 @@
             }
             (UserRequest::Cancel(_), Some(job)) if ended => {
                 let stance = self.display(&id, &job.record).0;
-                let answer = Answer::value(200, stance_answer(&id, stance));
+                let answer = Answer::value(200, status_answer(&id, stance));
                 self.reply(asked.reply_to, answer);
             }
             (UserRequest::Cancel(_), Some(job)) => self.record_cancellation(asked, &job),
@@ -238,16 +238,16 @@
         self.commit(asked, key, job.version, write);
     }
 
-    /// Stance and counts as shown to users; only final stances are promises.
-    fn display(&self, id: &JobId, record: &JobRecord) -> (Stance, u32, u32) {
+    /// JobStatus and counts as shown to users; only final stances are promises.
+    fn display(&self, id: &JobId, record: &JobRecord) -> (JobStatus, u32, u32) {
         match record.stance {
-            Stance::Done => (Stance::Done, record.tasks, 0),
-            Stance::Cancelled => (Stance::Cancelled, 0, 0),
+            JobStatus::Done => (JobStatus::Done, record.tasks, 0),
+            JobStatus::Cancelled => (JobStatus::Cancelled, 0, 0),
             _ => {
                 let counts = self.owner.as_ref().and_then(|owner| owner.counts(id));
                 let (done, running) =
                     counts.or_else(|| self.peers.running(id)).unwrap_or((record.done.len(), 0));
-                let stance = if running > 0 { Stance::Running } else { Stance::Pending };
+                let stance = if running > 0 { JobStatus::Running } else { JobStatus::Pending };
                 (stance, done, running)
             }
         }
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -12,7 +12,7 @@
 use super::{Core, StateCall, StateReply, Time};
 use crate::config::Config;
 use crate::ids::{JobId, Node, Team, Version};
-use crate::wire::{Change, Guard, JobSpec, MachineTypes, Stance, Write};
+use crate::wire::{Change, Guard, JobSpec, JobStatus, MachineTypes, Write};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,7 +39,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(from = "StoredJob", into = "StoredJob")]
 pub struct JobRecord {
-    pub stance: Stance,
+    pub stance: JobStatus,
     /// When it was accepted, by the accepting controller's time of day.
     pub accepted_ms: u64,
     pub tasks: u32,
@@ -57,7 +57,7 @@
 #[derive(Clone, Serialize, Deserialize)]
 struct StoredJob {
     #[serde(rename = "s")]
-    stance: Stance,
+    stance: JobStatus,
     #[serde(rename = "at")]
     accepted_ms: u64,
     #[serde(rename = "n")]
@@ -108,12 +108,12 @@
 
 impl JobRecord {
     pub fn is_final(&self) -> bool {
-        matches!(self.stance, Stance::Done | Stance::Cancelled)
+        matches!(self.stance, JobStatus::Done | JobStatus::Cancelled)
     }
 
     pub fn done(&self, wall_ms: u64) -> Self {
         let (done, ended_ms) = (Ranges::default(), Some(wall_ms));
-        Self { stance: Stance::Done, done, spec: None, ended_ms, ..self.clone() }
+        Self { stance: JobStatus::Done, done, spec: None, ended_ms, ..self.clone() }
     }
 
     pub fn cancelled(&self, wall_ms: u64) -> Self {
@@ -122,7 +122,7 @@
             tasks: self.tasks.saturating_sub(self.done.len()),
             need: Room::of(spec),
         });
-        Self { stance: Stance::Cancelled, leaving, ..self.done(wall_ms) }
+        Self { stance: JobStatus::Cancelled, leaving, ..self.done(wall_ms) }
     }
 
     /// Cancelled with what it needs: that was never done, so none of its tasks ever began.
@@ -389,7 +389,7 @@
     /// Whether a job is cancelled, by its user or with one that it needs.
     pub fn cancelled(&self, id: &JobId) -> bool {
         let recorded = self.jobs.get(id).map(|job| job.record.stance);
-        recorded == Some(Stance::Cancelled) || self.doomed(id)
+        recorded == Some(JobStatus::Cancelled) || self.doomed(id)
     }
 
     /// What those that need a job ask of it.
@@ -407,7 +407,8 @@
         let needed = record.spec.iter().flat_map(|spec| &spec.dependencies);
         let mut latest = record.accepted_ms;
         for needed in needed {
-            let needed = &self.jobs.get(needed).filter(|n| n.record.stance == Stance::Done)?.record;
+            let needed =
+                &self.jobs.get(needed).filter(|n| n.record.stance == JobStatus::Done)?.record;
             // An older version did not record the time.
             latest = latest.max(needed.ended_ms.unwrap_or(needed.accepted_ms));
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -228,7 +228,7 @@
 
 /// What a user is told of a job's state.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub enum Stance {
+pub enum JobStatus {
     #[serde(rename = "pending")]
     Pending,
     #[serde(rename = "running")]
@@ -239,11 +239,11 @@
     Cancelled,
 }
 
-pub fn stance_answer(id: &JobId, stance: Stance) -> Value {
+pub fn status_answer(id: &JobId, stance: JobStatus) -> Value {
     json!({"nameId": id, "stance": stance})
 }
 
-pub fn state_answer(id: &JobId, stance: Stance, done: u32, running: u32) -> Value {
+pub fn state_answer(id: &JobId, stance: JobStatus, done: u32, running: u32) -> Value {
     json!({"nameId": id, "stance": stance, "done": done, "running": running})
 }
 
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -11,7 +11,7 @@
 use ochredrum::core::part_map::MapChunk;
 use ochredrum::core::peers::{MeshMessage, MeshReply};
 use ochredrum::core::view::{JobRecord, ProcessRecord};
-use ochredrum::wire::{MachineTypes, Stance};
+use ochredrum::wire::{JobStatus, MachineTypes};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -106,6 +106,6 @@
     }
     assert_eq!(serde_json::from_value::<JobRecord>(stored).unwrap(), record);
     let cancelled = serde_json::to_value(record.cancelled(5)).unwrap();
-    assert_eq!(cancelled["s"], serde_json::to_value(Stance::Cancelled).unwrap());
+    assert_eq!(cancelled["s"], serde_json::to_value(JobStatus::Cancelled).unwrap());
     assert!(cancelled.get("j").is_none() && cancelled.get("jd").is_none());
 }
