--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -1,7 +1,7 @@
 //! The machine types that the cloud offers, and which submissions can never run on any of them.
 
 use super::io::Pending;
-use super::placement::Room;
+use super::placement::Resources;
 use super::quota::within;
 use super::schedule::limits;
 use super::user_requests::least_need;
@@ -52,7 +52,7 @@
         }
         let Some(limits) = limits(config, spec) else { return Some(true) };
         let (cpus, gpus) = least_need(spec);
-        let need = Room::of(spec);
+        let need = Resources::of(spec);
         let fits = |t: &MachineType| {
             spec.types.as_ref().is_none_or(|types| types.contains(&t.name))
                 && total_room(t).holds(&need)
@@ -63,8 +63,8 @@
 }
 
 /// All that a machine of a type has.
-pub fn total_room(of: &MachineType) -> Room {
-    Room { cpus: of.cpus, gpus: of.gpus, memory_gb: of.memory_gb }
+pub fn total_room(of: &MachineType) -> Resources {
+    Resources { cpus: of.cpus, gpus: of.gpus, memory_gb: of.memory_gb }
 }
 
 impl Core {
--- a/src/core/consolidation.rs
+++ b/src/core/consolidation.rs
@@ -57,7 +57,7 @@
                 // Ends by itself before long.
                 Kind::Array => {}
                 Kind::Gang => return None,
-                // Room where such an image is, is scarce, and a move that ends elsewhere is felt.
+                // Resources where such an image is, is scarce, and a move that ends elsewhere is felt.
                 Kind::Service if is_tight(&self.config, catalog.types(), &job.spec) => return None,
                 Kind::Service => {
                     let running = held.phase == Phase::Seen(TaskState::Running);
--- a/src/core/dependencies.rs
+++ b/src/core/dependencies.rs
@@ -43,14 +43,14 @@
     /// Unfinished jobs by what they need.
     dependents: BTreeMap<JobId, BTreeSet<JobId>>,
     /// Unfinished jobs that need a cancelled one, directly or through others.
-    doomed: BTreeSet<JobId>,
+    dependency_cancelled: BTreeSet<JobId>,
     /// What those that need a job ask of it. Nothing lowers it.
     inherited: BTreeMap<JobId, Urgency>,
 }
 
 impl Dependencies {
-    pub fn doomed(&self, id: &JobId) -> bool {
-        self.doomed.contains(id)
+    pub fn dependency_cancelled(&self, id: &JobId) -> bool {
+        self.dependency_cancelled.contains(id)
     }
 
     pub fn inherited(&self, id: &JobId) -> Option<&Urgency> {
@@ -81,34 +81,34 @@
                     }
                 }
             }
-            self.doomed.remove(id);
+            self.dependency_cancelled.remove(id);
             self.inherited.remove(id);
             let dependents = self.dependents.remove(id).unwrap_or_default();
             if record.stance == JobStatus::Cancelled {
-                self.doom(dependents.iter().cloned().collect(), changed);
+                self.spread_cancellation(dependents.iter().cloned().collect(), changed);
             }
             return changed.extend(dependents);
         }
         let Some(spec) = record.spec.as_ref().filter(|_| before.is_none()) else { return };
-        let mut doomed = false;
+        let mut dependency_cancelled = false;
         for needed in &spec.dependencies {
             // A full read shows jobs in the order of their ids, perhaps before those they need.
             let needs = job(needed);
-            doomed |= needs.is_some_and(|needs| needs.stance == JobStatus::Cancelled);
-            doomed |= self.doomed.contains(needed);
+            dependency_cancelled |= needs.is_some_and(|needs| needs.stance == JobStatus::Cancelled);
+            dependency_cancelled |= self.dependency_cancelled.contains(needed);
             if !needs.is_some_and(JobRecord::is_final) {
                 self.dependents.entry(needed.clone()).or_default().insert(id.clone());
             }
         }
-        if doomed {
-            self.doom(vec![id.clone()], changed);
+        if dependency_cancelled {
+            self.spread_cancellation(vec![id.clone()], changed);
         }
         self.raise(id, record, job, changed);
     }
 
-    fn doom(&mut self, mut jobs: Vec<JobId>, changed: &mut BTreeSet<JobId>) {
+    fn spread_cancellation(&mut self, mut jobs: Vec<JobId>, changed: &mut BTreeSet<JobId>) {
         while let Some(id) = jobs.pop() {
-            if self.doomed.insert(id.clone()) {
+            if self.dependency_cancelled.insert(id.clone()) {
                 jobs.extend(self.dependents.get(&id).into_iter().flatten().cloned());
                 changed.insert(id);
             }
--- a/src/core/dependencies/tests.rs
+++ b/src/core/dependencies/tests.rs
@@ -50,17 +50,20 @@
             records.put(number, record("pending", &[number - 1], "standard", None));
         }
         records.put(1, record("withdrawn", &[], "standard", None));
-        assert!((2..=LENGTH).all(|number| records.index.doomed(&id(number))));
+        assert!((2..=LENGTH).all(|number| records.index.dependency_cancelled(&id(number))));
         // One that names it later, and one that doesn't.
         records.put(901, record("pending", &[LENGTH, 1], "standard", None));
         records.put(902, record("pending", &[900], "standard", None));
-        assert!(records.index.doomed(&id(901)) && !records.index.doomed(&id(902)));
+        assert!(
+            records.index.dependency_cancelled(&id(901))
+                && !records.index.dependency_cancelled(&id(902))
+        );
         // Written down, nothing is kept of them.
         (2..=LENGTH).for_each(|number| {
             drop(records.put(number, record("withdrawn", &[], "standard", None)))
         });
         records.put(901, record("withdrawn", &[], "standard", None));
-        assert!(records.index.doomed.is_empty());
+        assert!(records.index.dependency_cancelled.is_empty());
         assert_eq!(records.index.dependents.len(), 1, "only job 900's");
     }
 }
--- a/src/core/job_records.rs
+++ b/src/core/job_records.rs
@@ -142,16 +142,16 @@
 
     /// Writes down that jobs are cancelled with one that they need. Everybody derives it anyway, so
     /// it comes after all other writes.
-    pub(super) fn record_doomed(&mut self, io: &mut Io, view: &View) {
+    pub(super) fn record_dependent_cancellations(&mut self, io: &mut Io, view: &View) {
         let now = io.now;
         let pause = self.config.deployment.workers.report_s;
         let ours = |record: &JobRecord| {
             let team = record.spec.as_ref().map(|spec| &spec.team);
             !record.is_final() && team.is_some_and(|team| self.teams.contains_key(team))
         };
-        self.doomed.retain(|id, _| view.job(id).is_some_and(|job| ours(&job.record)));
+        self.dependency_cancelled.retain(|id, _| view.job(id).is_some_and(|job| ours(&job.record)));
         let mut batch = Vec::new();
-        for (id, not_before) in &mut self.doomed {
+        for (id, not_before) in &mut self.dependency_cancelled {
             if !io.may_write() {
                 break;
             }
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -1,7 +1,7 @@
 //! An unfinished job as the leader runs it.
 
 use super::Time;
-use super::placement::Room;
+use super::placement::Resources;
 use super::ranges::Ranges;
 use super::view::JobRecord;
 use crate::ids::{Attempt, MachineId, Version, Zone};
@@ -96,8 +96,8 @@
         }
     }
 
-    pub fn need(&self) -> Room {
-        Room::of(&self.spec)
+    pub fn need(&self) -> Resources {
+        Resources::of(&self.spec)
     }
 
     pub fn task(&self, index: u32) -> Option<&Task> {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -22,7 +22,7 @@
 /// it stays within the limit on bodies, past which it would be refused for ever.
 const VALUE_BYTES: usize = BODY_LIMIT / 2;
 
-/// Room for one machine and its owner, below which splitting values further helps nothing.
+/// Resources for one machine and its owner, below which splitting values further helps nothing.
 const LEAST_VALUE_KB: f64 = 0.25;
 
 #[derive(Debug)]
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -2,7 +2,7 @@
 
 use super::Time;
 use super::authority::Process;
-use super::placement::Room;
+use super::placement::Resources;
 use crate::ids::{Attempt, Image, JobId, MachineId, TaskId, Team, Term, TypeName, Version, Zone};
 use crate::wire::{Exit, MachineType, Order, Priority, Report, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct Held {
     /// What it takes; None if its job is not known (any more).
-    pub room: Option<Room>,
+    pub room: Option<Resources>,
     pub team: Option<Team>,
     pub image: Option<(Image, f64)>,
     pub priority: Priority,
@@ -82,7 +82,7 @@
     pub type_name: TypeName,
     pub zone: Zone,
     pub spot: bool,
-    pub total: Room,
+    pub total: Resources,
     pub fetch_rate: f64,
     cache_gb: f64,
     pub session: u64,
@@ -153,7 +153,7 @@
             type_name: "".into(),
             zone: "".into(),
             spot: false,
-            total: Room::default(),
+            total: Resources::default(),
             fetch_rate: 0.0,
             cache_gb: 0.0,
             session: 0,
@@ -197,7 +197,7 @@
     pub fn set_type(&mut self, types: &[MachineType]) {
         if let Some(of_type) = types.iter().find(|t| t.name == self.type_name) {
             self.total =
-                Room { cpus: of_type.cpus, gpus: of_type.gpus, memory_gb: of_type.memory_gb };
+                Resources { cpus: of_type.cpus, gpus: of_type.gpus, memory_gb: of_type.memory_gb };
             self.fetch_rate = of_type.fetch_gb_per_s;
             self.cache_gb = of_type.cache_gb;
         }
@@ -268,32 +268,32 @@
         self.trusted || self.empty
     }
 
-    pub fn free(&self) -> Room {
+    pub fn free(&self) -> Resources {
         let mut free = self.total;
         for held in self.on.values().filter(|held| !held.exited()) {
             match &held.room {
                 Some(room) => free = free.less(room),
-                None => return Room::default(),
+                None => return Resources::default(),
             }
         }
         free
     }
 
-    /// Room as it will be once everything that was told to stop has gone.
-    pub fn free_after_stops(&self) -> Room {
+    /// Resources as it will be once everything that was told to stop has gone.
+    pub fn free_after_stops(&self) -> Resources {
         let mut free = self.total;
         for held in self.on.values().filter(|held| !held.exited() && held.stop.is_none()) {
             match &held.room {
                 Some(room) => free = free.less(room),
-                None => return Room::default(),
+                None => return Resources::default(),
             }
         }
         free
     }
 
     /// What runs and was not told to stop takes, by priority.
-    pub fn running_by_priority(&self) -> [Room; Priority::COUNT] {
-        let mut running = [Room::default(); Priority::COUNT];
+    pub fn running_by_priority(&self) -> [Resources; Priority::COUNT] {
+        let mut running = [Resources::default(); Priority::COUNT];
         for held in self.on.values().filter(|held| !held.exited() && held.stop.is_none()) {
             if let Some(room) = &held.room {
                 let sum = &mut running[held.priority as usize];
--- a/src/core/owned_jobs.rs
+++ b/src/core/owned_jobs.rs
@@ -5,7 +5,7 @@
 use super::jobs::{Job, Task};
 use super::machines::{Held, Machine, Phase};
 use super::owner::Owner;
-use super::placement::Room;
+use super::placement::Resources;
 use super::view::{JobRecord, Leaving, View};
 use crate::ids::{Attempt, JobId, MachineId, TaskId, Version, Zone};
 use crate::wire::JobSpec;
@@ -39,8 +39,8 @@
         }
         let Some(spec) = &record.spec else { return };
         let Some(team) = self.teams.get(&spec.team) else { return };
-        if view.doomed(id) {
-            self.doomed.entry(id.clone()).or_insert(now);
+        if view.dependency_cancelled(id) {
+            self.dependency_cancelled.entry(id.clone()).or_insert(now);
             return;
         }
         // Until all that it needs is done, durably and as read here, it is no work of this share. Its
@@ -214,7 +214,7 @@
 }
 
 pub(super) fn describe(held: &mut Held, spec: &JobSpec) {
-    held.room = Some(Room::of(spec));
+    held.room = Some(Resources::of(spec));
     held.team = Some(spec.team.clone());
     held.image = Some((spec.image.clone(), spec.image_gb));
     held.priority = spec.priority;
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -11,7 +11,7 @@
 use super::jobs::Job;
 use super::machines::{Held, Machine};
 use super::part_map;
-use super::placement::{Room, Weights};
+use super::placement::{Resources, Weights};
 use super::supply::{Need, Offer};
 use super::task_index::TaskIndex;
 use super::token_bucket::TokenBucket;
@@ -37,7 +37,7 @@
     pub(super) incarnation: u64,
     pub(super) jobs: BTreeMap<JobId, Job>,
     /// Jobs that need a cancelled one, and when to write that down.
-    pub(super) doomed: BTreeMap<JobId, Time>,
+    pub(super) dependency_cancelled: BTreeMap<JobId, Time>,
     /// Our machines, and others' as far as tasks of our teams may be on them.
     pub(super) machines: BTreeMap<MachineId, Machine>,
     pub(super) teams: BTreeMap<Team, OwnedTeam>,
@@ -95,7 +95,7 @@
             config: config.clone(),
             incarnation,
             jobs: BTreeMap::new(),
-            doomed: BTreeMap::new(),
+            dependency_cancelled: BTreeMap::new(),
             machines: BTreeMap::new(),
             teams: BTreeMap::new(),
             map_seen: None,
@@ -141,7 +141,7 @@
         self.check_machines(view, catalog, now);
         self.settle_when_known(view);
         self.record_progress(io);
-        self.record_doomed(io, view);
+        self.record_dependent_cancellations(io, view);
         self.place_when_due(io, view, catalog);
         self.count_running(now);
         self.push_orders(io);
@@ -155,7 +155,7 @@
         }
         self.next_check = now + self.config.deployment.workers.lease_s * CHECK_LEASES;
         for machine in self.machines.values_mut() {
-            if machine.total == Room::default() && !machine.address.is_empty() {
+            if machine.total == Resources::default() && !machine.address.is_empty() {
                 machine.set_type(catalog.types());
             }
             // A successor of its process has registered, so that has ended.
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -51,7 +51,7 @@
     share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     let first = share.machines.get_mut(&MachineId::from("m-1")).unwrap();
     first.trusted = true;
-    first.total = Room { cpus: 32.0, gpus: 8.0, memory_gb: 100.0 };
+    first.total = Resources { cpus: 32.0, gpus: 8.0, memory_gb: 100.0 };
     first.fetch_rate = 1.0;
     for (id, image) in [("req-000001", "a"), ("req-000002", "b")] {
         let mut record = record(false);
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -10,7 +10,7 @@
 const EPSILON: f64 = 1e-6;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Room {
+pub struct Resources {
     #[serde(rename = "cpu")]
     pub cpus: f64,
     #[serde(rename = "gpu")]
@@ -19,42 +19,46 @@
     pub memory_gb: f64,
 }
 
-impl Room {
+impl Resources {
     /// What each task of a job takes.
-    pub fn of(spec: &JobSpec) -> Room {
-        Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+    pub fn of(spec: &JobSpec) -> Resources {
+        Resources { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
     }
 
-    pub fn times(&self, count: u32) -> Room {
+    pub fn times(&self, count: u32) -> Resources {
         let count = f64::from(count);
-        Room { cpus: self.cpus * count, gpus: self.gpus * count, memory_gb: self.memory_gb * count }
+        Resources {
+            cpus: self.cpus * count,
+            gpus: self.gpus * count,
+            memory_gb: self.memory_gb * count,
+        }
     }
 
-    pub fn less(&self, taken: &Room) -> Room {
-        Room {
+    pub fn less(&self, taken: &Resources) -> Resources {
+        Resources {
             cpus: self.cpus - taken.cpus,
             gpus: self.gpus - taken.gpus,
             memory_gb: self.memory_gb - taken.memory_gb,
         }
     }
 
-    pub fn plus(&self, given: &Room) -> Room {
-        Room {
+    pub fn plus(&self, given: &Resources) -> Resources {
+        Resources {
             cpus: self.cpus + given.cpus,
             gpus: self.gpus + given.gpus,
             memory_gb: self.memory_gb + given.memory_gb,
         }
     }
 
-    pub fn min(&self, other: &Room) -> Room {
-        Room {
+    pub fn min(&self, other: &Resources) -> Resources {
+        Resources {
             cpus: self.cpus.min(other.cpus),
             gpus: self.gpus.min(other.gpus),
             memory_gb: self.memory_gb.min(other.memory_gb),
         }
     }
 
-    pub fn holds(&self, need: &Room) -> bool {
+    pub fn holds(&self, need: &Resources) -> bool {
         need.cpus <= self.cpus + EPSILON
             && need.gpus <= self.gpus + EPSILON
             && need.memory_gb <= self.memory_gb + EPSILON
@@ -77,8 +81,8 @@
 /// A machine that satisfies the task's rules.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
-    pub free: Room,
-    pub total: Room,
+    pub free: Resources,
+    pub total: Resources,
     /// Seconds until the task could run there.
     pub ready_in: Time,
 }
@@ -96,7 +100,7 @@
 /// Picks a candidate. One that could not run the task within `slack` does not suffice while
 /// another does; if none does, the soonest ones are left to choose from.
 pub fn best_fit(
-    need: &Room,
+    need: &Resources,
     candidates: &[Candidate],
     slack: Time,
     late: Late,
--- a/src/core/placement/tests.rs
+++ b/src/core/placement/tests.rs
@@ -1,11 +1,11 @@
 use super::*;
 
 fn candidate(gpus: f64, cpus: f64, ready_in: Time) -> Candidate {
-    let total = Room { cpus: 32.0, gpus: 8.0, memory_gb: 100.0 };
-    Candidate { free: Room { cpus, gpus, memory_gb: 50.0 }, total, ready_in }
+    let total = Resources { cpus: 32.0, gpus: 8.0, memory_gb: 100.0 };
+    Candidate { free: Resources { cpus, gpus, memory_gb: 50.0 }, total, ready_in }
 }
 
-const NEED: Room = Room { cpus: 4.0, gpus: 2.0, memory_gb: 10.0 };
+const NEED: Resources = Resources { cpus: 4.0, gpus: 2.0, memory_gb: 10.0 };
 
 fn pick(candidates: &[Candidate], slack: Time) -> Option<usize> {
     best_fit(&NEED, candidates, slack, Late::BestFit, Weights::default())
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -4,7 +4,7 @@
 
 use super::catalog::total_room;
 use super::jobs::zone_allows;
-use super::placement::Room;
+use super::placement::Resources;
 use super::schedule::allowed;
 use super::supply::{Need, Offer, Want};
 use crate::ids::{MachineId, Zone};
@@ -31,7 +31,7 @@
     pub machine: Option<MachineId>,
     pub offer: Offer,
     /// Beside what is on it and what is planned there.
-    pub free: Room,
+    pub free: Resources,
     pub used: bool,
     /// To be returned unless nothing else will do.
     pub emptying: bool,
@@ -63,8 +63,8 @@
         self.bins
     }
 
-    /// Room on a machine that will be free by the time of what is served next.
-    pub fn release(&mut self, machine: &MachineId, room: &Room) {
+    /// Resources on a machine that will be free by the time of what is served next.
+    pub fn release(&mut self, machine: &MachineId, room: &Resources) {
         let of_machine = |bin: &&mut Bin| bin.machine.as_ref() == Some(machine);
         if let Some(bin) = self.bins.iter_mut().find(of_machine) {
             bin.free = bin.free.plus(room);
@@ -74,7 +74,7 @@
     /// Finds room for tasks, and adds what they lack to `need`.
     pub fn serve(&mut self, wanted: Wanted, need: &mut Need) {
         let Wanted { spec, count, zones: mut tasks_in_zone, urgency } = wanted;
-        let room = Room::of(&spec);
+        let room = Resources::of(&spec);
         if urgency.is_some() {
             let size = if room.gpus > 0.0 { room.gpus } else { room.cpus };
             need.queued += size * f64::from(count);
@@ -106,7 +106,7 @@
     fn best_bin(
         &mut self,
         spec: &JobSpec,
-        room: &Room,
+        room: &Resources,
         open: &dyn Fn(&Zone) -> bool,
     ) -> Option<&mut Bin> {
         let fits = |bin: &Bin| {
@@ -130,7 +130,7 @@
     fn want_machine(
         &mut self,
         spec: &JobSpec,
-        room: &Room,
+        room: &Resources,
         open: &dyn Fn(&Zone) -> bool,
         urgency: Option<Priority>,
         need: &mut Need,
@@ -159,7 +159,7 @@
 fn offers(
     types: &[MachineType],
     spec: &JobSpec,
-    need: &Room,
+    need: &Resources,
     open: &dyn Fn(&Zone) -> bool,
 ) -> Vec<Offer> {
     let mut offers = Vec::new();
@@ -179,12 +179,12 @@
 fn cheapest(
     types: &[MachineType],
     spec: &JobSpec,
-    need: &Room,
+    need: &Resources,
     open: &dyn Fn(&Zone) -> bool,
     in_zone: &BTreeMap<Zone, u32>,
     refused: &BTreeSet<Offer>,
-) -> Option<(Offer, Room)> {
-    let mut best: Option<((f64, u32), Offer, Room)> = None;
+) -> Option<(Offer, Resources)> {
+    let mut best: Option<((f64, u32), Offer, Resources)> = None;
     for of_type in types.iter().filter(|of_type| total_room(of_type).holds(need)) {
         let total = total_room(of_type);
         let per = |have: f64, need: f64| if need > 0.0 { (have / need).floor() } else { f64::MAX };
--- a/src/core/plan/tests.rs
+++ b/src/core/plan/tests.rs
@@ -7,7 +7,7 @@
 #[test]
 fn the_cheapest_offer_per_task_is_wanted() {
     let (types, job) = (types(), service("chat", "x", 1.0));
-    let need = Room::of(&job);
+    let need = Resources::of(&job);
     let zones = BTreeMap::from([(Zone::from("a"), 3)]);
     let best = |refused: &BTreeSet<Offer>| {
         cheapest(&types, &job, &need, &|_| true, &zones, refused).map(|(offer, _)| offer)
--- a/src/core/preemption.rs
+++ b/src/core/preemption.rs
@@ -5,7 +5,7 @@
 use super::Time;
 use super::machines::{Held, Machine};
 use super::owner::Owner;
-use super::placement::Room;
+use super::placement::Resources;
 use super::quota::Usage;
 use super::schedule::{Slot, allowed, limits};
 use crate::ids::{Attempt, JobId, MachineId, TaskId, Team, Zone};
@@ -117,12 +117,12 @@
 fn cheapest(
     share: &Owner,
     machine: &Machine,
-    mut later: Room,
-    need: &Room,
+    mut later: Resources,
+    need: &Resources,
     yields: &dyn Fn(&TaskId, &Held) -> bool,
     now: Time,
 ) -> Option<(Time, Vec<Stop>)> {
-    let mut victims: Vec<(Time, Stop, Room)> = Vec::new();
+    let mut victims: Vec<(Time, Stop, Resources)> = Vec::new();
     for ((task, attempt), held) in &machine.on {
         if let (true, Some(room), Some((cost, grace))) =
             (yields(task, held), held.room, loss(share, task, held, now))
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -6,7 +6,7 @@
 use super::jobs::Job;
 use super::machines::Machine;
 use super::owner::Owner;
-use super::placement::{Candidate, Late, Room, best_fit};
+use super::placement::{Candidate, Late, Resources, best_fit};
 use super::preemption;
 use super::quota::Usage;
 use super::view::View;
@@ -21,21 +21,21 @@
     pub type_name: TypeName,
     pub zone: Zone,
     pub spot: bool,
-    pub total: Room,
-    pub free: Room,
+    pub total: Resources,
+    pub free: Resources,
     /// Free once everything that was told to stop has gone.
-    pub later: Room,
+    pub later: Resources,
     /// What runs and was not told to stop takes, by priority.
-    pub running: [Room; Priority::COUNT],
+    pub running: [Resources; Priority::COUNT],
     /// Kept for a job that needs it whole.
     pub reserved: bool,
-    /// Room held back for starts that are in time only here, by image.
-    pub warm: Vec<(Image, Room)>,
+    /// Resources held back for starts that are in time only here, by image.
+    pub warm: Vec<(Image, Resources)>,
 }
 
 impl Slot {
     /// Free room less what is held back for other images.
-    fn open_to(&self, image: Option<&Image>) -> Room {
+    fn open_to(&self, image: Option<&Image>) -> Resources {
         let others = self.warm.iter().filter(|(other, _)| Some(other) != image);
         others.fold(self.free, |free, (_, room)| free.less(room))
     }
@@ -207,7 +207,7 @@
     fn hold_warm(&self, slots: &mut [Slot], catalog: &Catalog, now: Time) {
         let tight = self.forecast.tight_images(&self.config, catalog.types(), now);
         for (image, (spec, recent)) in tight {
-            let need = Room::of(&spec);
+            let need = Resources::of(&spec);
             let zones: BTreeSet<Zone> = slots.iter().map(|slot| slot.zone.clone()).collect();
             for zone in &zones {
                 let mut wanted = recent.div_ceil(zones.len() as u32).max(1);
@@ -274,7 +274,7 @@
         let spot_fits = |slot: &&Slot| slot.spot && slot.open_to(Some(&spec.image)).holds(&need);
         // What may run on spot machines leaves the dear ones to what may not.
         let spot_only = spec.spot && slots.iter().filter(spot_fits).count() >= count;
-        let mut taken: BTreeMap<usize, Room> = BTreeMap::new();
+        let mut taken: BTreeMap<usize, Resources> = BTreeMap::new();
         let mut in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
         let mut chosen = Vec::new();
         let eligible: Vec<usize> = slots
--- a/src/core/tracking.rs
+++ b/src/core/tracking.rs
@@ -11,7 +11,7 @@
 use super::machines::{Freshness, Held, Phase};
 use super::owned_jobs::{describe, describe_leaving};
 use super::owner::Owner;
-use super::placement::Room;
+use super::placement::Resources;
 use super::unresponsive::Unresponsive;
 use super::view::View;
 use super::{Answer, Body, Time, WorkerReply};
@@ -61,7 +61,7 @@
         let now = io.now;
         let id = report.machine.clone();
         let machine = self.machines.get_mut(&id).filter(|machine| machine.mine)?;
-        if machine.total == Room::default() || machine.address != report.address {
+        if machine.total == Resources::default() || machine.address != report.address {
             machine.describe(&report, catalog.types());
         }
         if report.token > machine.token {
--- a/src/core/upcoming.rs
+++ b/src/core/upcoming.rs
@@ -6,7 +6,7 @@
 use super::Time;
 use super::jobs::Job;
 use super::owner::Owner;
-use super::placement::Room;
+use super::placement::Resources;
 use super::plan::Wanted;
 use super::quota::Usage;
 use super::schedule::limits;
@@ -23,7 +23,7 @@
 #[derive(Default)]
 pub struct Upcoming {
     pub wanted: Vec<Wanted>,
-    pub released: Vec<(MachineId, Room)>,
+    pub released: Vec<(MachineId, Resources)>,
 }
 
 impl Owner {
@@ -84,7 +84,9 @@
             ending.iter().flat_map(|id| view.dependents(id)).collect();
         let mut specs = Vec::new();
         for id in dependents {
-            let Some(job) = view.job(id).filter(|_| !view.doomed(id)) else { continue };
+            let Some(job) = view.job(id).filter(|_| !view.dependency_cancelled(id)) else {
+                continue;
+            };
             let record: &JobRecord = &job.record;
             let Some(spec) = record.spec.as_ref().filter(|_| !record.is_final()) else { continue };
             let ready = spec.dependencies.iter().all(|id| done(id) || ending.contains(id));
@@ -95,15 +97,15 @@
         specs
     }
 
-    fn room_of(&self, jobs: &BTreeSet<&JobId>) -> Vec<(MachineId, Room)> {
+    fn room_of(&self, jobs: &BTreeSet<&JobId>) -> Vec<(MachineId, Resources)> {
         let mut released = Vec::new();
         for machine in self.machines.values() {
             let held = machine.on.iter().filter(|((task, _), held)| {
                 !held.exited() && held.stop.is_none() && jobs.contains(&task.job)
             });
             let rooms = held.filter_map(|(_, held)| held.room);
-            let sum = rooms.fold(Room::default(), |sum, room| sum.plus(&room));
-            if sum != Room::default() {
+            let sum = rooms.fold(Resources::default(), |sum, room| sum.plus(&room));
+            if sum != Resources::default() {
                 released.push((machine.id.clone(), sum));
             }
         }
--- a/src/core/user_requests.rs
+++ b/src/core/user_requests.rs
@@ -188,7 +188,7 @@
         let id = asked.what.job().clone();
         let known = self.view.job(&id).cloned();
         let ended = known.as_ref().is_some_and(|job| job.record.is_final());
-        if let (false, true, Some(job)) = (ended, self.view.doomed(&id), &known) {
+        if let (false, true, Some(job)) = (ended, self.view.dependency_cancelled(&id), &known) {
             return self.record_cancellation(asked, job);
         }
         if !ended && self.view.current_as_of < asked.needs {
@@ -230,7 +230,7 @@
     /// days 2 and 34: a controller went back to such a version).
     fn record_cancellation(&mut self, asked: WaitingRequest, job: &Versioned<Rc<JobRecord>>) {
         let (key, wall_ms) = (job_key(asked.what.job()), self.io.wall_ms);
-        let record = match self.view.doomed(asked.what.job()) {
+        let record = match self.view.dependency_cancelled(asked.what.job()) {
             true => job.record.cancelled_unstarted(wall_ms),
             false => job.record.cancelled(wall_ms),
         };
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -7,7 +7,7 @@
 use super::dependencies::{Dependencies, Urgency};
 use super::io::Pending;
 use super::part_map::{MapChunk, Owners};
-use super::placement::Room;
+use super::placement::Resources;
 use super::ranges::Ranges;
 use super::{Core, StateCall, StateReply, Time};
 use crate::config::Config;
@@ -103,7 +103,7 @@
     #[serde(rename = "n")]
     pub tasks: u32,
     #[serde(rename = "r")]
-    pub need: Room,
+    pub need: Resources,
 }
 
 impl JobRecord {
@@ -120,7 +120,7 @@
         let leaving = self.spec.as_ref().map(|spec| Leaving {
             team: spec.team.clone(),
             tasks: self.tasks.saturating_sub(self.done.len()),
-            need: Room::of(spec),
+            need: Resources::of(spec),
         });
         Self { stance: JobStatus::Cancelled, leaving, ..self.done(wall_ms) }
     }
@@ -382,14 +382,14 @@
     }
 
     /// Whether a job that is not over needs one that is cancelled: it is as cancelled as that.
-    pub fn doomed(&self, id: &JobId) -> bool {
-        self.dependencies.doomed(id)
+    pub fn dependency_cancelled(&self, id: &JobId) -> bool {
+        self.dependencies.dependency_cancelled(id)
     }
 
     /// Whether a job is cancelled, by its user or with one that it needs.
     pub fn cancelled(&self, id: &JobId) -> bool {
         let recorded = self.jobs.get(id).map(|job| job.record.stance);
-        recorded == Some(JobStatus::Cancelled) || self.doomed(id)
+        recorded == Some(JobStatus::Cancelled) || self.dependency_cancelled(id)
     }
 
     /// What those that need a job ask of it.
