--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::ids::JobId;
+use serde_json::{Value, json};
 
 fn example() -> Value {
     json!({"nameId":"req-000412","herd":"train","crew":"vision","shape":"ensemble",
