--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -43,6 +43,13 @@
     End,
 }
 
+impl AuthorityCall {
+    /// Whether it writes a key; leases count as requests only.
+    pub fn is_change(&self) -> bool {
+        matches!(self, Self::Register { .. } | Self::Claim { .. })
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Lease {
     None,
--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -8,6 +8,7 @@
 use super::rebalance::CloudWork;
 use super::user_requests::UserWrite;
 use super::{Answer, CallId, CloudCall, Effect, RequestId, StateCall, StateReply, Time};
+use crate::config::Config;
 use crate::ids::{Attempt, MachineId, Node, TaskId};
 use crate::wire::{DirectOrders, Write};
 use rand::Rng;
@@ -46,11 +47,23 @@
     Cloud(Option<CloudWork>),
 }
 
+impl Pending {
+    /// Whether it is the reply to a change in the state service.
+    pub fn is_change(&self) -> bool {
+        match self {
+            Self::UserWrite(_) | Self::Records(_) | Self::Map(_) | Self::Types(_) => true,
+            Self::Authority(call) => call.is_change(),
+            _ => false,
+        }
+    }
+}
+
 pub struct Io {
     pub now: Time,
     pub wall_ms: u64,
-    /// Of requests to the state service.
-    pub pacing: Pacing,
+    /// Of changes in the state service, and of all requests to it.
+    changes: Pacing,
+    requests: Pacing,
     rng: StdRng,
     next_call: u64,
     calls: HashMap<CallId, Pending>,
@@ -59,9 +72,20 @@
 }
 
 impl Io {
-    pub fn new(rng: StdRng, pacing: Pacing) -> Self {
+    pub fn new(rng: StdRng, config: &Config) -> Self {
         let (calls, effects) = (HashMap::new(), Vec::new());
-        Self { now: 0.0, wall_ms: 0, pacing, rng, next_call: 0, calls, direct_orders: 0, effects }
+        let (changes, requests) = (Pacing::new(config), Pacing::new(config));
+        Self {
+            now: 0.0,
+            wall_ms: 0,
+            changes,
+            requests,
+            rng,
+            next_call: 0,
+            calls,
+            direct_orders: 0,
+            effects,
+        }
     }
 
     pub fn begin(&mut self, now: Time, wall_ms: u64) {
@@ -130,19 +154,33 @@
     }
 
     /// Whether requests to the state service that can wait may be sent.
+    pub fn may_read(&self) -> bool {
+        self.requests.open(self.now)
+    }
+
+    /// Whether changes in the state service that can wait may be asked for.
     pub fn may_write(&self) -> bool {
-        self.pacing.open(self.now)
+        self.may_read() && self.changes.open(self.now)
+    }
+
+    /// When changes may be asked for again.
+    pub fn write_resumes(&self) -> Time {
+        self.requests.resume().max(self.changes.resume())
     }
 
-    /// The state service has answered: how soon more may be asked of it.
-    pub fn pace(&mut self, reply: &StateReply) {
+    /// The state service has answered: how soon more may be asked of it. A refused change says nothing
+    /// of the rate of all requests, which is far higher.
+    pub fn pace(&mut self, change: bool, reply: &StateReply) {
+        let now = self.now;
         match reply {
             StateReply::Busy => {
                 let spread = self.jitter(1.0);
-                self.pacing.refused(self.now, spread);
+                let pacing = if change { &mut self.changes } else { &mut self.requests };
+                pacing.refused(now, spread);
             }
             StateReply::Refused | StateReply::Unknown => {}
-            _ => self.pacing.served(self.now),
+            _ if change => self.changes.served(now),
+            _ => self.requests.served(now),
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -231,7 +231,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let incarnation = rand::Rng::random::<u64>(&mut rng) >> 12;
         Self {
-            io: Io::new(rng, pacing::Pacing::new(&config)),
+            io: Io::new(rng, &config),
             view: View::new(&config),
             user_requests: UserRequests::default(),
             peers: Peers::new(&config),
@@ -310,7 +310,7 @@
     }
 
     fn state_reply(&mut self, pending: Pending, reply: StateReply) {
-        self.io.pace(&reply);
+        self.io.pace(pending.is_change(), &reply);
         if !matches!(reply, StateReply::Busy | StateReply::Refused | StateReply::Unknown) {
             self.view.state_answered(self.io.now);
         }
--- a/src/core/test_support.rs
+++ b/src/core/test_support.rs
@@ -2,7 +2,6 @@
 
 use super::io::Io;
 use super::owner::{Hints, Owner};
-use super::pacing::Pacing;
 use super::part_map::{MapChunk, Owner as MapOwner, Share};
 use super::view::{JobRecord, MAP_PREFIX, View, put};
 use crate::config::Config;
@@ -34,7 +33,7 @@
 pub fn share() -> (Owner, Io, View) {
     let config = Rc::new(Config::parse(crate::config::TEST_SETTINGS).unwrap());
     let rng = rand::rngs::StdRng::seed_from_u64(1);
-    let io = Io::new(rng, Pacing::new(&config));
+    let io = Io::new(rng, &config);
     (Owner::new(&config, 1, Hints::new(), 0.0), io, View::new(&config))
 }
 
--- a/src/core/user_requests.rs
+++ b/src/core/user_requests.rs
@@ -135,7 +135,7 @@
 
     fn commit(&mut self, mut asked: WaitingRequest, key: String, version: Version, write: Write) {
         if !self.io.may_write() {
-            asked.not_before = self.io.pacing.resume();
+            asked.not_before = self.io.write_resumes();
             return self.user_requests.waiting.push(asked);
         }
         let transaction =
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -527,7 +527,7 @@
     pub(super) fn sync_when_due(&mut self) {
         let view = &mut self.view;
         let now = self.io.now;
-        if view.in_flight || now < view.next_sync || !self.io.may_write() {
+        if view.in_flight || now < view.next_sync || !self.io.may_read() {
             return;
         }
         if !view.wanted && view.listing.is_none() && now < view.next_sync + view.interval {
