--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -295,7 +295,8 @@
     }
     let world = play(&(day + "at 15 limits_fall\nat 18 close_looks 30\nuntil 160\n"));
     assert!(report("rate", &world).is_none(), "{}", report("rate", &world).unwrap_or_default());
-    assert!(world.work.state_busy > 20, "{:?}", world.work);
+    // Felt, and heeded: without pacing 3,639 requests of this day were refused.
+    assert!((20..1200).contains(&world.work.state_busy), "{:?}", world.work);
     assert_eq!(world.leaderships(), 1, "the first leader kept its lease");
 }
 
