A team under another term is settled anew: it may have been elsewhere between two reads

With two moves between two reads of the map (a round of a new leader each, state service slow here) another controller may have started the team's tasks. Its test failed before: the team's unsettled machines stayed empty.

--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -247,22 +247,20 @@
         for id in gone {
             self.remove_machine(&id, now);
         }
+        // Under another term a team may have been elsewhere since this process last read the map, so
+        // it is lost and gained anew.
+        let kept = |(team, owned): &(&Team, &OwnedTeam)| wanted.get(*team) == Some(&owned.term);
+        let teams = self.teams.iter();
         let lost: Vec<Team> =
-            self.teams.keys().filter(|team| !wanted.contains_key(*team)).cloned().collect();
+            teams.filter(|owned| !kept(owned)).map(|(team, _)| team.clone()).collect();
         for team in lost {
-            tracing::info!("team {team} goes to another controller");
+            tracing::info!("team {team} goes to another controller, or has been with one");
             self.teams.remove(&team);
             self.jobs.retain(|_, job| job.spec.team != team);
         }
         for (team, term) in wanted {
-            match self.teams.get_mut(&team) {
-                None => self.gain_team(io, view, team, term),
-                // A fresh term for the same owner: only the attempts begin anew.
-                Some(owned) if owned.term != term => {
-                    owned.term = term;
-                    owned.attempts = 0;
-                }
-                Some(_) => {}
+            if !self.teams.contains_key(&team) {
+                self.gain_team(io, view, team, term);
             }
         }
         for machine in self.machines.values_mut().filter(|machine| machine.mine) {
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -179,6 +179,29 @@
     );
 }
 
+/// The map gave the team to another controller and back between two reads of it: what that one has
+/// started meanwhile is not known here.
+#[test]
+fn a_team_under_another_term_is_settled_anew() {
+    let (mut share, mut io, mut view) = share();
+    let other = Share { owner: owner("n1"), teams: vec![], machines: vec!["m-1".into()] };
+    let mine = |term| MapOwner { term: Term(term), ..owner("n0") };
+    let share_of = |term| Share { owner: mine(term), teams: vec!["red".into()], machines: vec![] };
+    map(&mut view, 5, vec![share_of(9), other.clone()]);
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
+    share.teams.get_mut(&Team::from("red")).unwrap().unsettled.clear();
+    let id = JobId::from("req-000001");
+    view.apply_write(&put(&job_key(&id), &record(false), None), 7);
+    share.take_job(&view, &id, &Rc::new(record(false)), 7, (1.0, 0));
+    assert_eq!(share.jobs[&id].unsettled(), 0);
+    map(&mut view, 8, vec![share_of(11), other]);
+    view.apply_write(&put(&job_key(&"req-000002".into()), &record(false), None), 9);
+    share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
+    assert!(!share.teams[&Team::from("red")].unsettled.is_empty());
+    share.take_job(&view, &id, &Rc::new(record(false)), 7, (1.0, 0));
+    assert_eq!(share.jobs[&id].unsettled(), 2, "perhaps started elsewhere meanwhile");
+}
+
 /// A leader that gives itself a team has written the map before it has read the jobs that the
 /// team's former owner read, and perhaps started, before that.
 #[test]
