Loopback test: a start held up at its worker beside a message that is refused

The real program and client, two stand-in workers: the first message is kept by its worker, the next connection is refused, then the first is carried out. The stand-ins moved to tests/loopback.

--- /dev/null
+++ b/tests/loopback/mod.rs
@@ -0,0 +1,223 @@
+//! What tests of the real program stand on: stand-ins that speak HTTP over loopback.
+
+#[path = "../world/state.rs"]
+mod state;
+mod worker;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use ochredrum::core::{StateCall, StateReply};
+use ochredrum::front::MESSAGE_PACK;
+use ochredrum::http::{Bounds, Client, Failure, Reply, read_body, reply, serve};
+use ochredrum::wire::{Transaction, decode, encode};
+use serde_json::{Value, json};
+use state::State;
+use std::cell::RefCell;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+pub use worker::StandInWorker;
+
+pub const WAIT: Duration = Duration::from_secs(10);
+
+/// Answers requests as the state service's pages say.
+async fn state_service(
+    state: Rc<RefCell<State>>,
+    began: Instant,
+    request: Request<Incoming>,
+) -> Reply {
+    let (method, uri) = (request.method().clone(), request.uri().clone());
+    let Ok(body) = read_body(request.into_body(), 64 * 1024, WAIT).await else {
+        return reply(400, Vec::new(), MESSAGE_PACK);
+    };
+    let query = uri.query().unwrap_or("");
+    let value = |name: &str| {
+        query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
+    };
+    let parts: Vec<&str> = uri.path().trim_matches('/').split('/').collect();
+    let call = match (&method, parts.as_slice()) {
+        (&Method::GET, ["kv"]) => {
+            StateCall::List { prefix: "ochredrum/", from: value("from").map(|(_, v)| v.into()) }
+        }
+        (&Method::GET, ["watch"]) => {
+            let from = value("from").and_then(|(_, v)| v.parse().ok()).unwrap_or(0);
+            StateCall::Changes { prefix: "ochredrum/", from }
+        }
+        (&Method::POST, ["multi"]) => match decode::<Transaction>(&body) {
+            Some(transaction) => StateCall::Commit(transaction),
+            None => return reply(400, Vec::new(), MESSAGE_PACK),
+        },
+        (&Method::POST, ["leases"]) => {
+            let ttl = decode::<Value>(&body).and_then(|v| v["lifeMs"].as_u64()).unwrap_or(0);
+            StateCall::LeaseCreate { ttl_ms: ttl }
+        }
+        (&Method::POST, ["leases", id, "renew"]) => {
+            StateCall::LeaseRenew { lease: id.parse().unwrap_or(0) }
+        }
+        (&Method::DELETE, ["leases", id]) => StateCall::LeaseEnd { lease: id.parse().unwrap_or(0) },
+        _ => return reply(400, Vec::new(), MESSAGE_PACK),
+    };
+    let now = began.elapsed().as_secs_f64();
+    let (status, body) = match state.borrow_mut().call(now, call, None) {
+        StateReply::Listing(listing) => (200, encode(&listing)),
+        StateReply::Changes(changes) => (200, encode(&changes)),
+        StateReply::Committed(revision) => (200, encode(&json!({"ledger": revision}))),
+        StateReply::Conflict => (409, encode(&json!({"failed": [], "ledger": 0}))),
+        StateReply::Lease(lease) => (200, encode(&json!({"tenure": lease}))),
+        StateReply::Done => (200, encode(&json!({}))),
+        _ => (404, encode(&json!({}))),
+    };
+    reply(status, body, MESSAGE_PACK)
+}
+
+async fn cloud(request: Request<Incoming>) -> Reply {
+    let body = match request.uri().path() {
+        "/flavors" => json!({"breeds": [{"label": "g8", "cores": 96, "cards": 8, "memGb": 768,
+            "cacheGb": 200, "pullGbPerS": 1.0, "rate": 12.0, "marketPrice": 4.5, "bootS": 45,
+            "yards": ["a"]}]}),
+        "/rentals" if request.method() == Method::GET => json!({"drumheads": [], "more": false}),
+        _ => {
+            let none = encode(&json!({"error": "no capacity"}));
+            return reply(503, none, MESSAGE_PACK);
+        }
+    };
+    reply(200, encode(&body), MESSAGE_PACK)
+}
+
+pub async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+pub fn settings(
+    front: SocketAddr,
+    mesh: SocketAddr,
+    cloud: SocketAddr,
+    state: SocketAddr,
+) -> String {
+    format!(
+        r#"
+host_name = "n0"
+area = "a"
+front = "{front}"
+mesh_addr = "{mesh}"
+something_new = 7
+[services]
+cloud = "{cloud}"
+state = "{state}"
+[deployment]
+[[deployment.teams]]
+name = "vision"
+gpus_max = 16.0
+[deployment.workers]
+report_s = 1.0
+lease_s = 4.0
+gang_wait_s = 30.0
+gang_peer_s = 4.0
+cancel_s = 30.0
+[deployment.state]
+rps = 120.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 8
+[deployment.cloud]
+rps = 2.0
+list_lag_s = 10.0
+[deployment.limits]
+mem_mb = 56.0
+fd_limit = 200
+"#
+    )
+}
+
+/// The program, ended with the test.
+pub struct Program(Child);
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // It may have ended already.
+        self.0.kill().ok();
+        self.0.wait().ok();
+    }
+}
+
+pub fn start(settings: &std::path::Path) -> Program {
+    let program = env!("CARGO_BIN_EXE_ochredrum");
+    let mut command = Command::new(program);
+    command.arg("--config").arg(settings).stderr(Stdio::null());
+    Program(command.spawn().unwrap())
+}
+
+pub fn settings_file(name: &str, text: &str) -> std::path::PathBuf {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::File::create(&path).unwrap().write_all(text.as_bytes()).unwrap();
+    path
+}
+
+pub async fn ask(
+    client: &Client,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<(u16, Value), Failure> {
+    let (status, body) = client.send(method, path, body, Duration::from_secs(3)).await?;
+    Ok((status, decode(&body).unwrap_or_default()))
+}
+
+/// Asks until the status is the one waited for.
+pub async fn until(client: &Client, method: Method, path: &str, body: &[u8], status: u16) -> Value {
+    let began = Instant::now();
+    loop {
+        let answer = ask(client, method.clone(), path, body.to_vec()).await;
+        match answer {
+            Ok((seen, body)) if seen == status => return body,
+            other => assert!(began.elapsed() < WAIT, "{path}: {other:?} and not {status}"),
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+pub fn job(id: &str) -> Value {
+    json!({"nameId": id, "herd": "train", "crew": "vision", "shape": "sweep", "urgency": "high",
+        "beats": 2, "cores": 8.0, "cards": 1.0, "memGb": 64.0, "pressing": "img", "sizeGb": 6.2,
+        "breeds": null, "samePlace": false, "apart": false, "loaners": true, "expectS": 24.0,
+        "markEveryS": 3.0, "markS": 1.0})
+}
+
+/// How connections to stand-ins are bounded.
+pub const BOUNDS: Bounds = Bounds { connections: 100, read: WAIT };
+
+/// The program's addresses, with a state service and a cloud to talk to.
+pub struct Deployment {
+    pub front: SocketAddr,
+    mesh: SocketAddr,
+    cloud: SocketAddr,
+    state: SocketAddr,
+}
+
+impl Deployment {
+    /// The stand-ins serve from now on.
+    pub async fn new() -> Self {
+        let state = Rc::new(RefCell::new(State::default()));
+        let began = Instant::now();
+        let (listener, state_at) = listen().await;
+        spawn_local(serve(listener, BOUNDS, move |request| {
+            state_service(state.clone(), began, request)
+        }));
+        let (listener, cloud_at) = listen().await;
+        spawn_local(serve(listener, BOUNDS, cloud));
+        let ((front, front_at), (mesh, mesh_at)) = (listen().await, listen().await);
+        drop((front, mesh));
+        Self { front: front_at, mesh: mesh_at, cloud: cloud_at, state: state_at }
+    }
+
+    pub fn settings(&self) -> String {
+        settings(self.front, self.mesh, self.cloud, self.state)
+    }
+}
--- /dev/null
+++ b/tests/loopback/worker.rs
@@ -0,0 +1,209 @@
+//! A worker that reports to the program and takes its direct messages, or keeps them.
+
+use super::{BOUNDS, WAIT, listen};
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use ochredrum::front::MESSAGE_PACK;
+use ochredrum::http::{Client, Reply, read_body, reply, serve};
+use ochredrum::ids::{Attempt, MachineId, Term};
+use ochredrum::wire::{
+    BODY_LIMIT, DirectOrders, Exit, Order, Report, ReportAnswer, ReportedTask, TaskState, decode,
+    encode,
+};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::{AbortHandle, spawn_local};
+
+const REPORT_EVERY: Duration = Duration::from_millis(500);
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+#[derive(PartialEq)]
+enum Messages {
+    Serve,
+    HoldNext,
+    Held(DirectOrders),
+}
+
+struct Machine {
+    id: MachineId,
+    address: SocketAddr,
+    sequence: u64,
+    token: Term,
+    tasks: BTreeMap<(String, Attempt), TaskState>,
+    /// Every task that ever ran here.
+    ran: BTreeSet<String>,
+    messages: Messages,
+}
+
+/// One worker. While it holds a message it does not report.
+pub struct StandInWorker {
+    machine: Rc<RefCell<Machine>>,
+    listening: AbortHandle,
+}
+
+impl Machine {
+    fn report(&mut self) -> Report {
+        self.sequence += 1;
+        let tasks = self.tasks.iter().map(|((task, attempt), state)| ReportedTask {
+            task: task.clone(),
+            attempt: *attempt,
+            state: *state,
+            why: (*state == TaskState::Exited).then_some(Exit::Stopped),
+            saved: None,
+        });
+        Report {
+            machine: self.id.clone(),
+            address: self.address.to_string(),
+            type_name: "g8".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: self.sequence,
+            token: self.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn execute(&mut self, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => {
+                    self.ran.insert(task.clone());
+                    self.tasks.entry((task, attempt)).or_insert(TaskState::Running);
+                }
+                Order::Stop { task, attempt, .. } => {
+                    if let Some(state) = self.tasks.get_mut(&(task, attempt)) {
+                        *state = TaskState::Exited;
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    self.tasks.remove(&(task, attempt));
+                }
+            }
+        }
+    }
+
+    /// Executes a direct message if its token and session match.
+    fn take_message(&mut self, message: DirectOrders) -> u16 {
+        if message.token < self.token || message.session != 1 {
+            return 409;
+        }
+        self.token = message.token;
+        self.execute(message.orders);
+        200
+    }
+}
+
+impl StandInWorker {
+    /// A worker that reports to the program at `front` from now on.
+    pub async fn start(id: &str, front: SocketAddr) -> Self {
+        let (listener, address) = listen().await;
+        let machine = Rc::new(RefCell::new(Machine {
+            id: id.into(),
+            address,
+            sequence: 0,
+            token: Term(0),
+            tasks: BTreeMap::new(),
+            ran: BTreeSet::new(),
+            messages: Messages::Serve,
+        }));
+        let taking = machine.clone();
+        let listening = spawn_local(serve(listener, BOUNDS, move |request| {
+            take_request(taking.clone(), request)
+        }));
+        spawn_local(report_for_ever(machine.clone(), front));
+        Self { machine, listening: listening.abort_handle() }
+    }
+
+    /// The next direct message is kept: neither executed nor answered.
+    pub fn hold_next_message(&self) {
+        self.machine.borrow_mut().messages = Messages::HoldNext;
+    }
+
+    pub fn serve_messages(&self) {
+        self.machine.borrow_mut().messages = Messages::Serve;
+    }
+
+    pub fn holds_message(&self) -> bool {
+        matches!(self.machine.borrow().messages, Messages::Held(_))
+    }
+
+    pub fn refuse_connections(&self) {
+        self.listening.abort();
+    }
+
+    pub fn carry_out_held_message(&self) {
+        let mut machine = self.machine.borrow_mut();
+        if let Messages::Held(message) = std::mem::replace(&mut machine.messages, Messages::Serve) {
+            machine.take_message(message);
+        }
+    }
+
+    pub fn runs(&self, task: &str) -> bool {
+        let running = |(key, state): (&(String, Attempt), &TaskState)| {
+            key.0 == task && *state == TaskState::Running
+        };
+        self.machine.borrow().tasks.iter().any(running)
+    }
+
+    pub fn ran(&self, task: &str) -> bool {
+        self.machine.borrow().ran.contains(task)
+    }
+
+    /// Waits until it has shown a token.
+    pub async fn trusted(&self) {
+        wait_for(|| self.machine.borrow().token > Term(0)).await;
+        tokio::time::sleep(REPORT_EVERY * 2).await;
+    }
+
+    /// Waits until a task runs here.
+    pub async fn has_task(&self, task: &str) {
+        wait_for(|| self.runs(task)).await;
+    }
+}
+
+async fn wait_for(come: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !come() {
+        assert!(began.elapsed() < WAIT, "it did not come about");
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn take_request(machine: Rc<RefCell<Machine>>, request: Request<Incoming>) -> Reply {
+    let body = read_body(request.into_body(), BODY_LIMIT, WAIT).await.unwrap();
+    let Some(message) = decode::<DirectOrders>(&body) else {
+        return reply(400, Vec::new(), MESSAGE_PACK);
+    };
+    if machine.borrow().messages == Messages::HoldNext {
+        machine.borrow_mut().messages = Messages::Held(message);
+        std::future::pending::<()>().await;
+        return reply(500, Vec::new(), MESSAGE_PACK);
+    }
+    let mut machine = machine.borrow_mut();
+    let status = machine.take_message(message);
+    reply(status, encode(&machine.report()), MESSAGE_PACK)
+}
+
+async fn report_for_ever(machine: Rc<RefCell<Machine>>, front: SocketAddr) {
+    let client = Client::new(front, MESSAGE_PACK, 1);
+    loop {
+        tokio::time::sleep(REPORT_EVERY).await;
+        if matches!(machine.borrow().messages, Messages::Held(_)) {
+            continue;
+        }
+        let body = encode(&machine.borrow_mut().report());
+        let sent = client.send(Method::POST, "/checkin", body, Duration::from_secs(4)).await;
+        let Ok((200, body)) = sent else { continue };
+        let Some(answer) = decode::<ReportAnswer>(&body) else { continue };
+        let mut machine = machine.borrow_mut();
+        if answer.token >= machine.token {
+            machine.token = answer.token;
+            machine.execute(answer.orders);
+        }
+    }
+}
