Scenario: a start comes late beside a refused message; a failing job asks for a machine

order_late_beside_refused says what happens to each direct message to a machine (next_orders WHICH FATE...).

Found while writing it: a job that failed on the only machine of a share was never placed there again, but the plan put it there, so no other machine was asked for and it waited for ever (starved beside a machine with room).

--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -9,6 +9,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+/// Machines on which a job has failed when that says nothing of them any more.
+const FAILURES_OF_ITS_OWN: usize = 3;
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Task {
     /// May be on a machine that has not reported to this leader yet.
@@ -162,6 +165,12 @@
         self.spec.kind == Kind::Gang
     }
 
+    /// Machines that it is not to be tried on again. One that failed on several fails everywhere, and is
+    /// tried everywhere until its user cancels it.
+    pub fn avoided(&self) -> Option<&BTreeSet<MachineId>> {
+        Some(&self.failed_on).filter(|machines| machines.len() < FAILURES_OF_ITS_OWN)
+    }
+
     /// Attempts that may be running.
     pub fn attempts(&self) -> BTreeSet<Attempt> {
         let placed = |task: &Task| match task {
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -22,10 +22,19 @@
     /// Where the job's other tasks are: a plan that put these where the rules will not have them
     /// would never ask for what they need.
     pub zones: BTreeMap<Zone, u32>,
+    /// Machines where it will not be placed: a plan that put it there would never ask for another.
+    pub avoided: BTreeSet<MachineId>,
     /// How urgent it is, if it waits; None if it is only expected.
     pub urgency: Option<Priority>,
 }
 
+impl Wanted {
+    /// Tasks of a job that is only expected, and so has none anywhere.
+    pub fn expected(spec: Rc<JobSpec>, count: u32) -> Self {
+        Self { spec, count, zones: BTreeMap::new(), avoided: BTreeSet::new(), urgency: None }
+    }
+}
+
 /// Somewhere a task could go in a plan.
 pub struct Bin {
     pub machine: Option<MachineId>,
@@ -73,7 +82,7 @@
 
     /// Finds room for tasks, and adds what they lack to `need`.
     pub fn serve(&mut self, wanted: Wanted, need: &mut Need) {
-        let Wanted { spec, count, zones: mut tasks_in_zone, urgency } = wanted;
+        let Wanted { spec, count, zones: mut tasks_in_zone, avoided, urgency } = wanted;
         let room = Resources::of(&spec);
         if urgency.is_some() {
             let size = if room.gpus > 0.0 { room.gpus } else { room.cpus };
@@ -85,7 +94,7 @@
                 return;
             }
             let open = |zone: &Zone| zone_allows(&spec, zone, &tasks_in_zone);
-            let zone = match self.best_bin(&spec, &room, &open) {
+            let zone = match self.best_bin(&spec, &room, &avoided, &open) {
                 Some(bin) => {
                     bin.free = bin.free.less(&room);
                     bin.used = true;
@@ -107,10 +116,12 @@
         &mut self,
         spec: &JobSpec,
         room: &Resources,
+        avoided: &BTreeSet<MachineId>,
         open: &dyn Fn(&Zone) -> bool,
     ) -> Option<&mut Bin> {
         let fits = |bin: &Bin| {
             bin.free.holds(room)
+                && bin.machine.as_ref().is_none_or(|machine| !avoided.contains(machine))
                 && allowed(spec, &bin.offer.0, &bin.offer.1, bin.offer.2)
                 && open(&bin.offer.1)
         };
--- a/src/core/plan/tests.rs
+++ b/src/core/plan/tests.rs
@@ -16,3 +16,27 @@
     assert_eq!(best(&BTreeSet::new()), Some(g8("b")));
     assert_eq!(best(&BTreeSet::from([g8("b")])), Some(g8("a")));
 }
+
+/// A machine where a job has failed does not serve it: planned there, it would wait for ever beside a
+/// machine on which it is never placed, and no other would be asked for.
+#[test]
+fn a_machine_that_a_job_avoids_is_no_room_for_it() {
+    let (types, refused) = (types(), BTreeSet::new());
+    let bin = || Bin {
+        machine: Some("m-1".into()),
+        offer: (TypeName::from("g8"), Zone::from("a"), false),
+        free: total_room(&types[1]),
+        used: false,
+        emptying: false,
+        planned: false,
+        waited_for: false,
+    };
+    let wants = |avoided: BTreeSet<MachineId>| {
+        let (mut plan, mut need) = (Plan::new(&types, &refused, vec![bin()]), Need::default());
+        let waiting = Wanted { avoided, ..Wanted::expected(service("chat", "x", 1.0), 1) };
+        plan.serve(waiting, &mut need);
+        need.wanted()
+    };
+    assert_eq!(wants(BTreeSet::new()), 0);
+    assert_eq!(wants(BTreeSet::from(["m-1".into()])), 1);
+}
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -308,7 +308,7 @@
                     && (slot.spot || !spot_only)
                     && zone.is_none_or(|zone| slot.zone == *zone)
                     && allowed(spec, &slot.type_name, &slot.zone, slot.spot)
-                    && !(job.failed_on.len() < 3 && job.failed_on.contains(&slot.id))
+                    && job.avoided().is_none_or(|machines| !machines.contains(&slot.id))
             })
             .map(|(index, _)| index)
             .collect();
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -15,7 +15,6 @@
 use crate::ids::{MachineId, Team, Term, TypeName, Zone};
 use crate::wire::{MachineType, Priority};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 
 /// A kind of machine that can be rented: type, zone, and whether spot.
 pub type Offer = (TypeName, Zone, bool);
@@ -174,12 +173,13 @@
                 count += 1;
             }
             let (spec, zones) = (job.spec.clone(), job.zones.clone());
-            demand.push(Wanted { spec, count, zones, urgency: Some(job.priority) });
+            let avoided = job.avoided().cloned().unwrap_or_default();
+            demand.push(Wanted { spec, count, zones, avoided, urgency: Some(job.priority) });
         }
         let boot = longest_boot(types);
         for spec in self.forecast.expected(&self.config, boot, now) {
-            let (count, zones) = (spec.tasks, BTreeMap::new());
-            demand.push(Wanted { spec, count, zones, urgency: None });
+            let count = spec.tasks;
+            demand.push(Wanted::expected(spec, count));
         }
         demand
     }
--- a/src/core/upcoming.rs
+++ b/src/core/upcoming.rs
@@ -46,7 +46,7 @@
                 usage.add(&limits.name, spec.cpus, spec.gpus);
                 count += 1;
             }
-            wanted.push(Wanted { spec, count, zones: BTreeMap::new(), urgency: None });
+            wanted.push(Wanted::expected(spec, count));
         }
         if wanted.is_empty() {
             return Upcoming::default();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -12,7 +12,7 @@
 use ochredrum::wire::{JobSpec, Kind, Priority};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use world::{Event, Fault, LEASE_S, Limits, MapFault, UpgradeOrder, Who, World};
+use world::{Event, Fault, LEASE_S, Limits, MapFault, OrderFate, UpgradeOrder, Who, World};
 
 fn spec(kind: Kind, tasks: u32) -> JobSpec {
     JobSpec {
@@ -115,6 +115,17 @@
     }
 }
 
+/// `served`, `refused`, `unanswered` or `late=S`.
+fn order_fate(word: &str) -> OrderFate {
+    match word.split_once('=') {
+        Some(("late", seconds)) => OrderFate::Late(number(Some(&seconds))),
+        None if word == "served" => OrderFate::Served,
+        None if word == "refused" => OrderFate::Refused,
+        None if word == "unanswered" => OrderFate::Unanswered,
+        _ => panic!("fate {word:?}?"),
+    }
+}
+
 fn fault(words: &[&str]) -> Fault {
     let rest = &words[1..];
     match words[0] {
@@ -183,6 +194,10 @@
             together: if rest.get(2) == Some(&"pairs") { 2 } else { 1 },
         },
         "downgrade" => Fault::Downgrade { who: who(rest[0]) },
+        "next_orders" => Fault::NextOrders {
+            which: number(rest.first()) as usize,
+            fates: rest[1..].iter().map(|word| order_fate(word)).collect(),
+        },
         "machine_refuses" => Fault::MachineRefuses {
             which: number(rest.first()) as usize,
             seconds: number(rest.get(1)),
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -1,8 +1,10 @@
 //! What goes wrong, and between whom.
 
+use super::orders::OrderFate;
 use super::{Event, LEASE_S, RESTART_S, World};
 use ochredrum::ids::MachineId;
 use rand::Rng;
+use std::collections::{BTreeMap, VecDeque};
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Who {
@@ -111,6 +113,11 @@
     LostAnswers {
         seconds: f64,
     },
+    /// What happens to the next messages of direct orders to a machine, one after the other.
+    NextOrders {
+        which: usize,
+        fates: Vec<OrderFate>,
+    },
     /// It refuses connections for direct orders at once; its reports arrive and are answered.
     MachineRefuses {
         which: usize,
@@ -206,6 +213,7 @@
     faults: Vec<(u64, f64, Kind)>,
     next: u64,
     outage_began: Option<f64>,
+    order_fates: BTreeMap<MachineId, VecDeque<OrderFate>>,
 }
 
 impl Network {
@@ -267,6 +275,10 @@
         self.on(&Kind::Mute(machine.clone()))
     }
 
+    pub fn next_order_fate(&mut self, machine: &MachineId) -> Option<OrderFate> {
+        self.order_fates.get_mut(machine)?.pop_front()
+    }
+
     pub fn refuses(&self, machine: &MachineId) -> bool {
         self.on(&Kind::Refuses(machine.clone()))
     }
@@ -469,6 +481,11 @@
                 }
             }
             Fault::LostAnswers { seconds } => lasting.push((seconds, Kind::LostAnswers)),
+            Fault::NextOrders { which, fates } => {
+                if let Some(machine) = self.machine_at(which) {
+                    self.net.order_fates.insert(machine, fates.into());
+                }
+            }
             Fault::MachineRefuses { which, seconds } => {
                 if let Some(machine) = self.machine_at(which) {
                     lasting.push((seconds, Kind::Refuses(machine)));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -30,6 +30,7 @@
 use worker::Worker;
 
 pub use faults::{Fault, MapFault, UpgradeOrder, Who};
+pub use orders::OrderFate;
 
 pub const REPORT_S: f64 = 1.0;
 pub const LEASE_S: f64 = 10.0;
--- a/tests/world/orders.rs
+++ b/tests/world/orders.rs
@@ -14,6 +14,18 @@
 /// An epoch that no controller has: what is answered to it reaches nobody.
 const NOBODY: u64 = u64::MAX;
 
+/// What happens to one message of direct orders.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum OrderFate {
+    Served,
+    /// The connection is refused at once.
+    Refused,
+    /// Carried out so many seconds later, without an answer.
+    Late(f64),
+    /// Carried out at once, but the answer is lost.
+    Unanswered,
+}
+
 impl World {
     /// A controller sends direct orders, each message on a connection of its own.
     pub(super) fn send_orders(
@@ -28,23 +40,41 @@
         let machine = MachineId::from(address.as_str());
         let reply = |reply| Box::new(Input::Worker(call, reply));
         let (lost, unsent) = (reply(WorkerReply::Unknown), reply(WorkerReply::NotSent));
-        if self.net.refuses(&machine) || (self.net.refused_orders() && self.in_trouble()) {
-            let delay = self.latency();
-            return self.after(delay, Event::Input { node, epoch, input: unsent });
-        }
-        let late = self.net.late_orders() && self.in_trouble();
-        let unanswered = late || (self.net.lost_order_answers() && self.in_trouble());
-        let answer_to = if unanswered { NOBODY } else { epoch };
+        let fate = self.order_fate(&machine);
+        let answer_to = if fate == OrderFate::Served { epoch } else { NOBODY };
         let event = Event::Orders { node, epoch: answer_to, call, address, orders };
-        if late {
-            let delay = self.rng.random_range(0.05..16.0);
-            self.after(delay, event);
-            return self.after(ANSWER_DEADLINE_S, Event::Input { node, epoch, input: lost });
+        match fate {
+            OrderFate::Refused => {
+                let delay = self.latency();
+                return self.after(delay, Event::Input { node, epoch, input: unsent });
+            }
+            OrderFate::Late(delay) => {
+                self.after(delay, event);
+                return self.after(ANSWER_DEADLINE_S, Event::Input { node, epoch, input: lost });
+            }
+            OrderFate::Served | OrderFate::Unanswered => {}
         }
         let (me, to) = (Who::Node(node), Who::Machine(machine));
         self.send(me, to, ANSWER_DEADLINE_S, event, node, lost, unsent);
     }
 
+    /// As a scenario has it for the next messages to this machine, or as the present troubles draw it.
+    fn order_fate(&mut self, machine: &MachineId) -> OrderFate {
+        if let Some(fate) = self.net.next_order_fate(machine) {
+            return fate;
+        }
+        if self.net.refuses(machine) || (self.net.refused_orders() && self.in_trouble()) {
+            return OrderFate::Refused;
+        }
+        if self.net.late_orders() && self.in_trouble() {
+            return OrderFate::Late(self.rng.random_range(0.05..16.0));
+        }
+        if self.net.lost_order_answers() && self.in_trouble() {
+            return OrderFate::Unanswered;
+        }
+        OrderFate::Served
+    }
+
     fn in_trouble(&mut self) -> bool {
         self.rng.random_bool(SHARE_IN_TROUBLE)
     }
