--- a/src/core/consolidation.rs
+++ b/src/core/consolidation.rs
@@ -7,7 +7,7 @@
 use super::catalog::Catalog;
 use super::forecast::is_tight;
 use super::jobs::zone_allows;
-use super::machines::{Held, Machine, Phase};
+use super::machines::{Machine, Phase, TrackedAttempt};
 use super::owner::Owner;
 use super::plan::Bin;
 use super::schedule::allowed;
@@ -45,13 +45,13 @@
 
     fn source(&self, bin: &Bin, catalog: &Catalog, now: Time) -> Option<Source> {
         let machine = self.machines.get(bin.machine.as_ref()?)?;
-        let live: Vec<(&(TaskId, Attempt), &Held)> =
-            machine.on.iter().filter(|(_, held)| !held.exited()).collect();
+        let live: Vec<(&(TaskId, Attempt), &TrackedAttempt)> =
+            machine.attempts.iter().filter(|(_, tracked)| !tracked.exited()).collect();
         if !machine.usable(now) || live.is_empty() {
             return None;
         }
         let mut replicas = Vec::new();
-        for (key, held) in live {
+        for (key, tracked) in live {
             let job = self.jobs.get(&key.0.job)?;
             match job.spec.kind {
                 // Ends by itself before long.
@@ -60,12 +60,12 @@
                 // Resources where such an image is, is scarce, and a move that ends elsewhere is felt.
                 Kind::Service if is_tight(&self.config, catalog.types(), &job.spec) => return None,
                 Kind::Service => {
-                    let running = held.phase == Phase::Seen(TaskState::Running);
+                    let running = tracked.phase == Phase::Seen(TaskState::Running);
                     // A start that is stopped early does not count as one to its user.
-                    let settled = held
+                    let settled = tracked
                         .began
                         .is_some_and(|b| now - b > self.config.deployment.workers.cancel_s);
-                    if !running || !settled || held.stop.is_some() {
+                    if !running || !settled || tracked.stop.is_some() {
                         return None;
                     }
                     replicas.push(key.clone());
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -21,7 +21,7 @@
 
 /// One attempt of a task that may be on the machine.
 #[derive(Clone, Debug)]
-pub struct Held {
+pub struct TrackedAttempt {
     /// What it takes; None if its job is not known (any more).
     pub room: Option<Resources>,
     pub team: Option<Team>,
@@ -41,7 +41,7 @@
     pub misses: u32,
 }
 
-impl Held {
+impl TrackedAttempt {
     pub fn new(now: Time) -> Self {
         Self {
             room: None,
@@ -103,7 +103,7 @@
     pub empty: bool,
     /// When the cloud takes it away.
     pub leaves: Option<Time>,
-    pub on: BTreeMap<AttemptKey, Held>,
+    pub attempts: BTreeMap<AttemptKey, TrackedAttempt>,
     /// Most recently used last.
     images: Vec<(Image, f64)>,
     pub idle_since: Time,
@@ -161,7 +161,7 @@
             gained: 0,
             empty: false,
             leaves: None,
-            on: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             images: Vec::new(),
             idle_since: now,
             suspect: false,
@@ -262,8 +262,8 @@
 
     pub fn free(&self) -> Resources {
         let mut free = self.total;
-        for held in self.on.values().filter(|held| !held.exited()) {
-            match &held.room {
+        for tracked in self.attempts.values().filter(|tracked| !tracked.exited()) {
+            match &tracked.room {
                 Some(room) => free = free.less(room),
                 None => return Resources::default(),
             }
@@ -274,8 +274,10 @@
     /// Resources as it will be once everything that was told to stop has gone.
     pub fn free_after_stops(&self) -> Resources {
         let mut free = self.total;
-        for held in self.on.values().filter(|held| !held.exited() && held.stop.is_none()) {
-            match &held.room {
+        for tracked in
+            self.attempts.values().filter(|tracked| !tracked.exited() && tracked.stop.is_none())
+        {
+            match &tracked.room {
                 Some(room) => free = free.less(room),
                 None => return Resources::default(),
             }
@@ -286,9 +288,11 @@
     /// What runs and was not told to stop takes, by priority.
     pub fn running_by_priority(&self) -> [Resources; Priority::COUNT] {
         let mut running = [Resources::default(); Priority::COUNT];
-        for held in self.on.values().filter(|held| !held.exited() && held.stop.is_none()) {
-            if let Some(room) = &held.room {
-                let sum = &mut running[held.priority as usize];
+        for tracked in
+            self.attempts.values().filter(|tracked| !tracked.exited() && tracked.stop.is_none())
+        {
+            if let Some(room) = &tracked.room {
+                let sum = &mut running[tracked.priority as usize];
                 *sum = sum.plus(room);
             }
         }
@@ -297,13 +301,15 @@
 
     /// GPUs that are free or taken by work of normal and low priority.
     pub fn room_beside_urgent(&self) -> f64 {
-        let urgent = |held: &&Held| !held.exited() && held.priority > Priority::Normal;
-        let taken = self.on.values().filter(urgent);
-        self.total.gpus - taken.filter_map(|held| held.room).map(|room| room.gpus).sum::<f64>()
+        let urgent =
+            |tracked: &&TrackedAttempt| !tracked.exited() && tracked.priority > Priority::Normal;
+        let taken = self.attempts.values().filter(urgent);
+        self.total.gpus
+            - taken.filter_map(|tracked| tracked.room).map(|room| room.gpus).sum::<f64>()
     }
 
     pub fn idle(&self) -> bool {
-        self.on.values().all(Held::exited)
+        self.attempts.values().all(TrackedAttempt::exited)
     }
 
     /// May be given tasks.
@@ -368,10 +374,10 @@
         }
         let alone = self.fetch_s(gb);
         let mut fetching: BTreeMap<&Image, Time> = BTreeMap::new();
-        for held in self.on.values().filter(|h| !h.exited() && !h.has_image()) {
-            if let Some((other, _)) = &held.image {
-                let since = fetching.entry(other).or_insert(held.issued);
-                *since = since.min(held.issued);
+        for tracked in self.attempts.values().filter(|h| !h.exited() && !h.has_image()) {
+            if let Some((other, _)) = &tracked.image {
+                let since = fetching.entry(other).or_insert(tracked.issued);
+                *since = since.min(tracked.issued);
             }
         }
         match fetching.get(image) {
@@ -386,9 +392,9 @@
     /// What its next message should tell it, by what is under way to it already.
     pub fn orders(&self, in_flight: &StartsInFlight, carrier: Carrier) -> Orders {
         let mut orders = Orders::default();
-        for (key, held) in &self.on {
+        for (key, tracked) in &self.attempts {
             let (task, attempt) = (key.0.to_string(), key.1);
-            match (&held.phase, held.stop) {
+            match (&tracked.phase, tracked.stop) {
                 (Phase::Issued, None) => {
                     // What a direct message carries needs no other; the answer to a report has it all,
                     // for direct messages may not reach the machine.
@@ -402,7 +408,7 @@
                     orders.list.push(Order::Stop { task, attempt, grace_s });
                 }
                 // While a start may still arrive, forgetting would let it start again.
-                (Phase::Exited(_), _) if held.forget && !in_flight.may_arrive(&self.id, key) => {
+                (Phase::Exited(_), _) if tracked.forget && !in_flight.may_arrive(&self.id, key) => {
                     orders.list.push(Order::Forget { task, attempt });
                 }
                 _ => {}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,8 @@
 pub mod job_records;
 pub mod jobs;
 pub mod leader;
+pub mod lease_expiry;
+pub mod machine_orders;
 pub mod machines;
 pub mod owned_jobs;
 pub mod owner;
@@ -368,8 +370,8 @@
                     // Nobody to hear from: silence says nothing.
                     self.peers.heard_workers(now);
                 }
-                if owner.take_hurry() {
-                    self.peers.hurry(now);
+                if owner.take_sync_soon() {
+                    self.peers.sync_soon(now);
                 }
             }
             if let Some(leader) = self.leader.as_mut() {
--- a/src/core/owned_jobs.rs
+++ b/src/core/owned_jobs.rs
@@ -3,7 +3,7 @@
 
 use super::Time;
 use super::jobs::{Job, Task};
-use super::machines::{Held, Machine, Phase};
+use super::machines::{Machine, Phase, TrackedAttempt};
 use super::owner::Owner;
 use super::placement::Resources;
 use super::view::{JobRecord, Leaving, View};
@@ -72,8 +72,9 @@
         }
         for (machine, task, attempt) in exits {
             let key = (task.clone(), attempt);
-            let held = self.machines.get(&machine).and_then(|machine| machine.on.get(&key));
-            if let Some(Phase::Exited(why)) = held.map(|held| held.phase.clone()) {
+            let tracked =
+                self.machines.get(&machine).and_then(|machine| machine.attempts.get(&key));
+            if let Some(Phase::Exited(why)) = tracked.map(|tracked| tracked.phase.clone()) {
                 self.task_exited(&machine, &task, attempt, why, now);
             }
         }
@@ -84,30 +85,30 @@
     fn find_attempts(&mut self, id: &JobId, job: &mut Job) -> Vec<(MachineId, TaskId, Attempt)> {
         let mut exits = Vec::new();
         let spec = job.spec.clone();
-        self.each_attempt(id, |at, held| {
-            describe(held, &spec);
+        self.each_attempt(id, |at, tracked| {
+            describe(tracked, &spec);
             let index = at.task.index;
-            if held.exited() {
+            if tracked.exited() {
                 exits.push((at.machine.clone(), at.task.clone(), at.attempt));
             } else if matches!(job.task(index), Some(Task::Waiting | Task::Unsettled)) {
                 job.set(index, Task::Placed(at.machine.clone(), at.attempt), Some(at.zone));
-                job.began |= held.began.is_some();
+                job.began |= tracked.began.is_some();
             }
         });
         exits
     }
 
     /// Looks at every attempt of a job that may be on a machine.
-    fn each_attempt(&mut self, id: &JobId, mut look: impl FnMut(&AttemptAt, &mut Held)) {
+    fn each_attempt(&mut self, id: &JobId, mut look: impl FnMut(&AttemptAt, &mut TrackedAttempt)) {
         let first = (TaskId { job: id.clone(), index: 0 }, Attempt(0));
         let last = (TaskId { job: id.clone(), index: u32::MAX }, Attempt(u64::MAX));
         for machine in self.task_index.machines_of(id) {
-            let Some(Machine { id, zone, on, .. }) = self.machines.get_mut(&machine) else {
+            let Some(Machine { id, zone, attempts, .. }) = self.machines.get_mut(&machine) else {
                 continue;
             };
-            for ((task, attempt), held) in on.range_mut(first.clone()..=last.clone()) {
+            for ((task, attempt), tracked) in attempts.range_mut(first.clone()..=last.clone()) {
                 self.visits += 1;
-                look(&AttemptAt { machine: id, zone, task, attempt: *attempt }, held);
+                look(&AttemptAt { machine: id, zone, task, attempt: *attempt }, tracked);
             }
         }
     }
@@ -118,8 +119,8 @@
         let last = (task.clone(), Attempt(u64::MAX));
         self.task_index.machines_of(&task.job).into_iter().find_map(|id| {
             let machine = self.machines.get(&id)?;
-            let mut attempts = machine.on.range(first.clone()..=last.clone());
-            let (_, attempt) = attempts.find(|(_, held)| !held.exited())?.0;
+            let mut attempts = machine.attempts.range(first.clone()..=last.clone());
+            let (_, attempt) = attempts.find(|(_, tracked)| !tracked.exited())?.0;
             Some((id, *attempt))
         })
     }
@@ -127,8 +128,8 @@
     /// Tasks of a job of which an attempt may be on some machine.
     pub(super) fn tasks_on_machines(&mut self, id: &JobId) -> BTreeSet<u32> {
         let mut tasks = BTreeSet::new();
-        self.each_attempt(id, |at, held| {
-            if !held.exited() {
+        self.each_attempt(id, |at, tracked| {
+            if !tracked.exited() {
                 tasks.insert(at.task.index);
             }
         });
@@ -150,28 +151,30 @@
         };
         job.priority = urgency.priority;
         self.changed = true;
-        self.each_attempt(id, |_, held| held.priority = held.priority.max(urgency.priority));
+        self.each_attempt(id, |_, tracked| {
+            tracked.priority = tracked.priority.max(urgency.priority)
+        });
     }
 
     /// Done or cancelled, and recorded so: its tasks go, and their exits may be forgotten.
     fn job_over(&mut self, id: &JobId) {
         self.changed |= self.jobs.remove(id).is_some();
         let mut stopped = Vec::new();
-        self.each_attempt(id, |at, held| {
-            held.forget = true;
-            if !held.exited() && held.stop != Some(0.0) {
-                held.stop = Some(0.0);
+        self.each_attempt(id, |at, tracked| {
+            tracked.forget = true;
+            if !tracked.exited() && tracked.stop != Some(0.0) {
+                tracked.stop = Some(0.0);
                 stopped.push(at.machine.clone());
             }
         });
-        self.push.extend(stopped);
+        self.unsent_orders.extend(stopped);
     }
 
     /// What is recorded as done may be forgotten by its machines.
     pub(super) fn forget_recorded(&mut self, id: &JobId, record: &JobRecord) {
-        self.each_attempt(id, |at, held| {
-            let done = held.phase == Phase::Exited(crate::wire::Exit::Done);
-            held.forget |= done && record.done.contains(at.task.index);
+        self.each_attempt(id, |at, tracked| {
+            let done = tracked.phase == Phase::Exited(crate::wire::Exit::Done);
+            tracked.forget |= done && record.done.contains(at.task.index);
         });
     }
 
@@ -191,8 +194,8 @@
         }
         self.running_at = now;
         self.running.clear();
-        for ((task, _), held) in self.machines.values().flat_map(|machine| &machine.on) {
-            if held.has_image()
+        for ((task, _), tracked) in self.machines.values().flat_map(|machine| &machine.attempts) {
+            if tracked.has_image()
                 && let Some(job) = self.jobs.get(&task.job)
             {
                 let counts = self.running.entry(task.job.clone()).or_default();
@@ -226,27 +229,27 @@
             let key = (TaskId { job: id.clone(), index }, attempt);
             if *other == attempt
                 && let Some(machine) = self.machines.get_mut(machine)
-                && let Some(held) = machine.on.get_mut(&key)
-                && !held.exited()
-                && held.stop.is_none()
+                && let Some(tracked) = machine.attempts.get_mut(&key)
+                && !tracked.exited()
+                && tracked.stop.is_none()
             {
-                held.stop = Some(0.0);
-                self.push.insert(machine.id.clone());
+                tracked.stop = Some(0.0);
+                self.unsent_orders.insert(machine.id.clone());
             }
         }
     }
 }
 
-pub(super) fn describe(held: &mut Held, spec: &JobSpec) {
-    held.room = Some(Resources::of(spec));
-    held.team = Some(spec.team.clone());
-    held.image = Some((spec.image.clone(), spec.image_gb));
-    held.priority = spec.priority;
-    held.save_s = if spec.checkpoint_s > 0.0 { spec.save_s } else { 0.0 };
+pub(super) fn describe(tracked: &mut TrackedAttempt, spec: &JobSpec) {
+    tracked.room = Some(Resources::of(spec));
+    tracked.team = Some(spec.team.clone());
+    tracked.image = Some((spec.image.clone(), spec.image_gb));
+    tracked.priority = spec.priority;
+    tracked.save_s = if spec.checkpoint_s > 0.0 { spec.save_s } else { 0.0 };
 }
 
 /// What is left of a cancelled job, as its record tells.
-pub(super) fn describe_leaving(held: &mut Held, leaving: &Leaving) {
-    held.room = Some(leaving.need);
-    held.team = Some(leaving.team.clone());
+pub(super) fn describe_leaving(tracked: &mut TrackedAttempt, leaving: &Leaving) {
+    tracked.room = Some(leaving.need);
+    tracked.team = Some(leaving.team.clone());
 }
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -9,7 +9,7 @@
 use super::io::Io;
 use super::job_records::{Unrecorded, write_rate};
 use super::jobs::Job;
-use super::machines::{Held, Machine};
+use super::machines::{Machine, TrackedAttempt};
 use super::part_map;
 use super::placement::{Resources, Weights};
 use super::starts_in_flight::StartsInFlight;
@@ -44,7 +44,7 @@
     pub(super) teams: BTreeMap<Team, OwnedTeam>,
     map_seen: Option<u64>,
     /// Machines that have orders to be sent at once.
-    pub(super) push: BTreeSet<MachineId>,
+    pub(super) unsent_orders: BTreeSet<MachineId>,
     /// Something changed that placement may profit from.
     pub(super) changed: bool,
     /// On which machines tasks of each job may be.
@@ -77,7 +77,7 @@
     /// Siblings that want to hear of our machines.
     pub(super) listeners: BTreeSet<Node>,
     /// Something has come up that a sibling should hear of soon.
-    pub(super) hurry: bool,
+    pub(super) sync_soon: bool,
     /// When a worker was last heard.
     pub(super) heard: Time,
 }
@@ -104,7 +104,7 @@
             machines: BTreeMap::new(),
             teams: BTreeMap::new(),
             map_seen: None,
-            push: BTreeSet::new(),
+            unsent_orders: BTreeSet::new(),
             changed: true,
             task_index: TaskIndex::default(),
             starts_in_flight: StartsInFlight::default(),
@@ -125,7 +125,7 @@
             refused: BTreeSet::new(),
             hints,
             listeners: BTreeSet::new(),
-            hurry: false,
+            sync_soon: false,
             heard: Time::NEG_INFINITY,
         }
     }
@@ -269,18 +269,20 @@
             }
         }
         let (teams, index) = (&self.teams, &mut self.task_index);
-        let ours = |held: &Held| held.team.as_ref().is_some_and(|team| teams.contains_key(team));
+        let ours = |tracked: &TrackedAttempt| {
+            tracked.team.as_ref().is_some_and(|team| teams.contains_key(team))
+        };
         self.machines.retain(|_, machine| {
             if !machine.mine {
-                machine.on.retain(|(task, _), held| {
-                    let keep = ours(held);
+                machine.attempts.retain(|(task, _), tracked| {
+                    let keep = ours(tracked);
                     if !keep {
                         index.remove(&task.job, &machine.id);
                     }
                     keep
                 });
             }
-            machine.mine || !machine.on.is_empty()
+            machine.mine || !machine.attempts.is_empty()
         });
     }
 
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -58,7 +58,7 @@
         Rc::make_mut(record.spec.as_mut().unwrap()).image = image.into();
         share.take_job(&view, &id.into(), &Rc::new(record), 9, (0.0, 0));
     }
-    let started = |share: &Owner| share.machines[&MachineId::from("m-1")].on.len();
+    let started = |share: &Owner| share.machines[&MachineId::from("m-1")].attempts.len();
     io.begin(0.1, 0);
     share.schedule(&io, &view, &Catalog::default());
     assert_eq!(started(&share), 2, "both replicas of one image, none of the other");
@@ -135,7 +135,7 @@
     share.take_task(&mut io, &view, &id, task.clone(), &shown);
     let news = |share: &Owner, view: &View| {
         let news = share.update_for(&"n1".into(), view, None, Hints::new());
-        (news.settled.len(), news.facts.len())
+        (news.settled.len(), news.observations.len())
     };
     assert_eq!(news(&share, &view), (0, 0));
     view.apply_write(&put(&job_key(&task.job), &record(false), None), 4);
@@ -153,18 +153,18 @@
     share.follow_map(&mut io, &view, &UnresponsiveMachines::default());
     let id = MachineId::from("m-1");
     let mut machine = Machine::named(id.clone(), Term(9), 0.0);
-    let mut held = Held::new(0.0);
-    held.team = Some("red".into());
+    let mut tracked = TrackedAttempt::new(0.0);
+    tracked.team = Some("red".into());
     let task = TaskId { job: "req-000001".into(), index: 0 };
-    machine.on.insert((task, Attempt(1)), held);
+    machine.attempts.insert((task, Attempt(1)), tracked);
     share.machines.insert(id.clone(), machine);
     let news = |teams: &[&str]| super::super::peer_sync::PeerUpdate {
         revision: 7,
         teams: teams.iter().map(|team| Team::from(*team)).collect(),
         listening: false,
         settled: vec![(id.clone(), Term(9))],
-        facts: vec![],
-        wishes: vec![],
+        observations: vec![],
+        commands: vec![],
         need: Need::default(),
         refused: None,
         images: Hints::new(),
@@ -248,13 +248,13 @@
     assert_eq!(used(&share, &view), 4.0);
     // What is seen is counted where it is, and not twice.
     let machine = share.machines.get_mut(&MachineId::from("m-1")).unwrap();
-    let mut held = Held::new(0.0);
+    let mut tracked = TrackedAttempt::new(0.0);
     describe_leaving(
-        &mut held,
+        &mut tracked,
         view.job(&"req-000100".into()).unwrap().record.leaving.as_ref().unwrap(),
     );
-    held.forget = true;
-    machine.on.insert((TaskId { job: "req-000100".into(), index: 1 }, Attempt(1)), held);
+    tracked.forget = true;
+    machine.attempts.insert((TaskId { job: "req-000100".into(), index: 1 }, Attempt(1)), tracked);
     assert_eq!(used(&share, &view), 4.0);
     let limits = crate::config::TeamLimits {
         name: "red".into(),
@@ -302,8 +302,8 @@
         let machine = share.machines.get_mut(id).unwrap();
         machine.trusted = true;
         let task = TaskId { job: "req-000001".into(), index };
-        machine.on.insert((task, Attempt(1)), Held::new(0.0));
-        share.push.insert(id.clone());
+        machine.attempts.insert((task, Attempt(1)), TrackedAttempt::new(0.0));
+        share.unsent_orders.insert(id.clone());
     }
     share.push_orders(&mut io);
     let sent = io.take_effects();
--- a/src/core/peer_sync.rs
+++ b/src/core/peer_sync.rs
@@ -19,7 +19,7 @@
     /// The sender's view of the state service was this far: it has seen every change of the map
     /// up to here, and starts nothing that those took from it.
     pub revision: Version,
-    /// Whose tasks the facts tell of: the receiver's teams as the sender knows the map. If that has
+    /// Whose tasks the observations tell of: the receiver's teams as the sender knows the map. If that has
     /// seen a team go elsewhere before the receiver did, its silence about that team says nothing.
     pub teams: BTreeSet<Team>,
     /// The sender wants to know of all the receiver's machines.
@@ -27,9 +27,11 @@
     /// The sender's machines that have shown this term's token, or are known empty.
     pub settled: Vec<(MachineId, Term)>,
     /// Of those, the ones with tasks of the receiver's teams.
-    pub facts: Vec<TaskObservation>,
+    #[serde(rename = "facts")]
+    pub observations: Vec<TaskObservation>,
     /// What the receiver is to do with the sender's teams' tasks on its machines.
-    pub wishes: Vec<TaskCommand>,
+    #[serde(rename = "wishes")]
+    pub commands: Vec<TaskCommand>,
     /// To the leader: what the sender's share lacks and has to spare.
     pub need: Need,
     /// From the leader: what the cloud has none of at present.
@@ -58,8 +60,8 @@
 
 impl Owner {
     /// Something that a sibling should hear of soon.
-    pub(super) fn take_hurry(&mut self) -> bool {
-        std::mem::take(&mut self.hurry)
+    pub(super) fn take_sync_soon(&mut self) -> bool {
+        std::mem::take(&mut self.sync_soon)
     }
 
     pub fn update_for(
@@ -72,7 +74,7 @@
         let owners = view.owners();
         let theirs: BTreeSet<&Team> =
             owners.teams.iter().filter(|(_, o)| o.node == *node).map(|(team, _)| team).collect();
-        let (mut settled, mut facts, mut wishes) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut settled, mut observations, mut commands) = (Vec::new(), Vec::new(), Vec::new());
         let tells = self.listeners.contains(node);
         for machine in self.machines.values() {
             if machine.mine && machine.settled() && tells && all_known(machine, view) {
@@ -81,19 +83,19 @@
                 if !tasks.is_empty() {
                     let (id, term, zone) =
                         (machine.id.clone(), machine.token, machine.zone.clone());
-                    facts.push(TaskObservation { machine: id, term, zone, tasks });
+                    observations.push(TaskObservation { machine: id, term, zone, tasks });
                 }
             } else if !machine.mine
                 && owners.machines.get(&machine.id).is_some_and(|o| o.node == *node)
             {
-                for ((task, attempt), held) in &machine.on {
-                    if held.stop.is_some() || held.forget {
-                        wishes.push(TaskCommand {
+                for ((task, attempt), tracked) in &machine.attempts {
+                    if tracked.stop.is_some() || tracked.forget {
+                        commands.push(TaskCommand {
                             machine: machine.id.clone(),
                             task: task.to_string(),
                             attempt: *attempt,
-                            stop: held.stop,
-                            forget: held.forget,
+                            stop: tracked.stop,
+                            forget: tracked.forget,
                         });
                     }
                 }
@@ -104,8 +106,8 @@
             teams: theirs.into_iter().cloned().collect(),
             listening: self.listening(),
             settled,
-            facts,
-            wishes,
+            observations,
+            commands,
             need: self.need.clone(),
             refused: leader.map(Leader::refused),
             images,
@@ -123,10 +125,10 @@
         known
     }
 
-    /// Whether this share waits for facts, or follows tasks on others' machines.
+    /// Whether this share waits for observations, or follows tasks on others' machines.
     fn listening(&self) -> bool {
         self.teams.values().any(|team| !team.unsettled.is_empty())
-            || self.machines.values().any(|m| !m.mine && !m.on.is_empty())
+            || self.machines.values().any(|m| !m.mine && !m.attempts.is_empty())
     }
 
     pub fn take_update(
@@ -135,35 +137,45 @@
         view: &View,
         from: &Node,
         incarnation: u64,
-        news: PeerUpdate,
+        update: PeerUpdate,
     ) {
-        if news.listening {
-            self.hurry |= self.listeners.insert(from.clone());
+        if update.listening {
+            self.sync_soon |= self.listeners.insert(from.clone());
         } else {
             self.listeners.remove(from);
         }
-        if let Some(refused) = news.refused {
+        if let Some(refused) = update.refused {
             self.refused = refused;
         }
-        self.hints.extend(news.images);
+        self.hints.extend(update.images);
         let former = (from.clone(), incarnation);
         for machine in self.machines.values_mut() {
             // It has seen the change of the map, and so answers the machine no more.
-            if machine.former.as_ref() == Some(&former) && news.revision >= machine.gained {
+            if machine.former.as_ref() == Some(&former) && update.revision >= machine.gained {
                 machine.former_let_go(io.now);
             }
         }
-        for wish in news.wishes {
-            self.carry_out(view, from, wish);
+        for command in update.commands {
+            self.carry_out(view, from, command);
         }
-        let mut facts: BTreeMap<MachineId, TaskObservation> =
-            news.facts.into_iter().map(|fact| (fact.machine.clone(), fact)).collect();
-        for (id, term) in news.settled {
+        let mut observations: BTreeMap<MachineId, TaskObservation> = update
+            .observations
+            .into_iter()
+            .map(|observation| (observation.machine.clone(), observation))
+            .collect();
+        for (id, term) in update.settled {
             let current = |o: &super::part_map::Owner| o.is(from, incarnation) && o.term == term;
             // What a former owner says, or says of an earlier term, does not count.
             if view.owners().machines.get(&id).is_some_and(current) {
-                let fact = facts.remove(&id);
-                self.take_observation(io, view, &id, term, (news.revision, &news.teams), fact);
+                let observation = observations.remove(&id);
+                self.take_observation(
+                    io,
+                    view,
+                    &id,
+                    term,
+                    (update.revision, &update.teams),
+                    observation,
+                );
             }
         }
     }
@@ -176,10 +188,10 @@
         id: &MachineId,
         term: Term,
         (revision, covers): (Version, &BTreeSet<Team>),
-        fact: Option<TaskObservation>,
+        observation: Option<TaskObservation>,
     ) {
         let now = io.now;
-        if fact.is_none() && !self.machines.contains_key(id) {
+        if observation.is_none() && !self.machines.contains_key(id) {
             return self.settled_elsewhere(id, revision, covers);
         }
         let machine = self
@@ -192,9 +204,9 @@
         // It has shown its owner's token, or its session is over.
         self.starts_in_flight.shown(id, term, 0);
         let mut shown = BTreeSet::new();
-        if let Some(fact) = fact {
-            machine.zone = fact.zone;
-            for reported in &fact.tasks {
+        if let Some(observation) = observation {
+            machine.zone = observation.zone;
+            for reported in &observation.tasks {
                 if let Some(task) = TaskId::parse(&reported.task) {
                     shown.insert((task.clone(), reported.attempt));
                     self.take_task(io, view, id, task, reported);
@@ -213,15 +225,15 @@
         // Not shown though the sender knew whose the team is: it is not there. Nothing that was
         // sent before the machine changed hands can arrive any more, its token has risen.
         let gone: Vec<_> = machine
-            .on
+            .attempts
             .iter()
-            .filter(|(key, held)| !shown.contains(key) && told(&held.team))
+            .filter(|(key, tracked)| !shown.contains(key) && told(&tracked.team))
             .map(|(key, _)| key.clone())
             .collect();
         for (task, attempt) in gone {
-            self.drop_held(id, &task, attempt, now);
+            self.drop_attempt(id, &task, attempt, now);
         }
-        if self.machines.get(id).is_some_and(|m| !m.mine && m.on.is_empty()) {
+        if self.machines.get(id).is_some_and(|m| !m.mine && m.attempts.is_empty()) {
             self.machines.remove(id);
         }
         self.settled_elsewhere(id, revision, covers);
@@ -236,20 +248,22 @@
     }
 
     /// Carries out what a team's owner wants of a task on one of our machines.
-    fn carry_out(&mut self, view: &View, from: &Node, wish: TaskCommand) {
-        let Some(task) = TaskId::parse(&wish.task) else { return };
-        let Some(machine) = self.machines.get_mut(&wish.machine).filter(|m| m.mine) else { return };
-        let Some(held) = machine.on.get_mut(&(task, wish.attempt)) else { return };
-        let owner = held.team.as_ref().and_then(|team| view.owners().teams.get(team));
+    fn carry_out(&mut self, view: &View, from: &Node, command: TaskCommand) {
+        let Some(task) = TaskId::parse(&command.task) else { return };
+        let Some(machine) = self.machines.get_mut(&command.machine).filter(|m| m.mine) else {
+            return;
+        };
+        let Some(tracked) = machine.attempts.get_mut(&(task, command.attempt)) else { return };
+        let owner = tracked.team.as_ref().and_then(|team| view.owners().teams.get(team));
         if owner.is_none_or(|owner| owner.node != *from) {
             return;
         }
-        held.forget |= wish.forget;
-        if let (Some(grace), false) = (wish.stop, held.exited())
-            && held.stop.is_none_or(|before| grace < before)
+        tracked.forget |= command.forget;
+        if let (Some(grace), false) = (command.stop, tracked.exited())
+            && tracked.stop.is_none_or(|before| grace < before)
         {
-            held.stop = Some(grace);
-            self.push.insert(wish.machine);
+            tracked.stop = Some(grace);
+            self.unsent_orders.insert(command.machine);
         }
     }
 }
@@ -258,21 +272,22 @@
 /// before it has read the jobs that came before that; what it does not know of it cannot pass on,
 /// and its owner would take the machine to be without it.
 fn all_known(machine: &Machine, view: &View) -> bool {
-    machine.on.iter().all(|((task, _), held)| {
-        held.team.is_some() || view.job(&task.job).is_some_and(|job| job.record.is_final())
+    machine.attempts.iter().all(|((task, _), tracked)| {
+        tracked.team.is_some() || view.job(&task.job).is_some_and(|job| job.record.is_final())
     })
 }
 
 fn tasks_of(machine: &Machine, teams: &BTreeSet<&Team>) -> Vec<ReportedTask> {
     let of_teams = |team: &Option<Team>| team.as_ref().is_some_and(|team| teams.contains(team));
-    let held = machine.on.iter().filter(|(_, held)| of_teams(&held.team));
-    held.map(|((task, attempt), held)| {
-        let (state, why) = match held.phase {
-            Phase::Issued => (TaskState::Fetching, None),
-            Phase::Seen(state) => (state, None),
-            Phase::Exited(why) => (TaskState::Exited, Some(why)),
-        };
-        ReportedTask { task: task.to_string(), attempt: *attempt, state, why, saved: None }
-    })
-    .collect()
+    let tracked = machine.attempts.iter().filter(|(_, tracked)| of_teams(&tracked.team));
+    tracked
+        .map(|((task, attempt), tracked)| {
+            let (state, why) = match tracked.phase {
+                Phase::Issued => (TaskState::Fetching, None),
+                Phase::Seen(state) => (state, None),
+                Phase::Exited(why) => (TaskState::Exited, Some(why)),
+            };
+            ReportedTask { task: task.to_string(), attempt: *attempt, state, why, saved: None }
+        })
+        .collect()
 }
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -169,7 +169,7 @@
     }
 
     /// Something to tell has come up that should not wait for the next hello.
-    pub fn hurry(&mut self, now: Time) {
+    pub fn sync_soon(&mut self, now: Time) {
         self.next_hello = self.next_hello.min(now + self.interval * 0.2);
     }
 
@@ -257,7 +257,7 @@
         };
         // True whenever it was said: that it arrives late only makes it weaker.
         self.unresponsive.note(quiet, now);
-        // Held up in the network, hellos arrive late: what they tell is then left out.
+        // TrackedAttempt up in the network, hellos arrive late: what they tell is then left out.
         let late = peer.newest.0 == incarnation && peer.newest.1 >= hello.number;
         let sends_workers = now - peer.sent_worker < self.peers.recent;
         if !late {
@@ -319,7 +319,7 @@
                     if complete {
                         self.authority.told(&node, sent);
                     } else {
-                        self.peers.hurry(now);
+                        self.peers.sync_soon(now);
                     }
                 }
                 if reply.vouches {
--- a/src/core/preemption.rs
+++ b/src/core/preemption.rs
@@ -3,7 +3,7 @@
 //! progress gets the time to.
 
 use super::Time;
-use super::machines::{Held, Machine};
+use super::machines::{Machine, TrackedAttempt};
 use super::owner::Owner;
 use super::placement::Resources;
 use super::quota::Usage;
@@ -20,18 +20,18 @@
 }
 
 /// What stopping a task loses, in seconds of its work.
-fn loss(share: &Owner, task: &TaskId, held: &Held, now: Time) -> Option<(Time, f64)> {
-    let ran = held.began.map_or(0.0, |began| now - began);
+fn loss(share: &Owner, task: &TaskId, tracked: &TrackedAttempt, now: Time) -> Option<(Time, f64)> {
+    let ran = tracked.began.map_or(0.0, |began| now - began);
     let Some(job) = share.jobs.get(&task.job) else {
         // Of another share's team, on a machine that moved here: its owner starts it elsewhere.
-        let known = held.team.is_some() && held.save_s > 0.0;
-        return known.then_some((held.save_s, held.save_s));
+        let known = tracked.team.is_some() && tracked.save_s > 0.0;
+        return known.then_some((tracked.save_s, tracked.save_s));
     };
     let saves = job.spec.checkpoint_s > 0.0;
     Some(match job.spec.kind {
         // A replica that stops is missed until it is up elsewhere.
         Kind::Service => (ran.min(share.config.deployment.workers.cancel_s) + 1.0, 0.0),
-        _ if held.began.is_none() => (0.0, 0.0),
+        _ if tracked.began.is_none() => (0.0, 0.0),
         _ if saves => (job.spec.save_s, job.spec.save_s),
         _ => (ran, 0.0),
     })
@@ -60,12 +60,12 @@
         .filter(|theirs| theirs.gpus > 0.0 || theirs.cpus > 0.0)
         .map(|theirs| &theirs.name)
         .collect();
-    let yields = |task: &TaskId, held: &Held| -> bool {
-        if held.exited() || held.stop.is_some() || task.job == *id {
+    let yields = |task: &TaskId, tracked: &TrackedAttempt| -> bool {
+        if tracked.exited() || tracked.stop.is_some() || task.job == *id {
             return false;
         }
-        held.priority < job.priority
-            || (held.team.as_ref().is_some_and(|team| beyond.contains(&team))
+        tracked.priority < job.priority
+            || (tracked.team.as_ref().is_some_and(|team| beyond.contains(&team))
                 && share.jobs.get(&task.job).is_some_and(|o| o.spec.kind != Kind::Service))
     };
     let mut stops = Vec::new();
@@ -97,9 +97,9 @@
         let slot = &mut slots[index];
         for victim in &victims {
             if let Some(room) = share.machines[&victim.machine]
-                .on
+                .attempts
                 .get(&(victim.task.clone(), victim.attempt))
-                .and_then(|held| held.room)
+                .and_then(|tracked| tracked.room)
             {
                 slot.later = slot.later.plus(&room);
             }
@@ -119,13 +119,13 @@
     machine: &Machine,
     mut later: Resources,
     need: &Resources,
-    yields: &dyn Fn(&TaskId, &Held) -> bool,
+    yields: &dyn Fn(&TaskId, &TrackedAttempt) -> bool,
     now: Time,
 ) -> Option<(Time, Vec<Stop>)> {
     let mut victims: Vec<(Time, Stop, Resources)> = Vec::new();
-    for ((task, attempt), held) in &machine.on {
+    for ((task, attempt), tracked) in &machine.attempts {
         if let (true, Some(room), Some((cost, grace))) =
-            (yields(task, held), held.room, loss(share, task, held, now))
+            (yields(task, tracked), tracked.room, loss(share, task, tracked, now))
         {
             let stop =
                 Stop { machine: machine.id.clone(), task: task.clone(), attempt: *attempt, grace };
--- a/src/core/quota.rs
+++ b/src/core/quota.rs
@@ -73,11 +73,11 @@
     fn add_held(&self, usage: &mut Usage) {
         // Whether there is a task that is over, of a record that doesn't say whose it was.
         let mut stray = false;
-        let held = self.machines.values().flat_map(|machine| machine.on.values());
-        for held in held.filter(|held| !held.exited()) {
-            match (&held.room, &held.team) {
+        let tracked = self.machines.values().flat_map(|machine| machine.attempts.values());
+        for tracked in tracked.filter(|tracked| !tracked.exited()) {
+            match (&tracked.room, &tracked.team) {
                 (Some(room), Some(team)) => usage.add(team, room.cpus, room.gpus),
-                (_, None) => stray |= held.forget,
+                (_, None) => stray |= tracked.forget,
                 (None, Some(_)) => {}
             }
         }
@@ -101,7 +101,7 @@
         if unsettled.is_empty() {
             return;
         }
-        let held = self.held_of_cancelled();
+        let tracked = self.held_of_cancelled();
         let recent_ms = self.config.deployment.workers.cancel_s * CANCELLED_COUNTS * 1e3;
         let recent = wall_ms.saturating_sub(recent_ms as u64);
         for (name, team) in unsettled {
@@ -110,7 +110,7 @@
                 usage.close(name);
             }
             for (id, leaving) in view.cancelled_since(since).filter(|(_, l)| l.team == *name) {
-                let known = held.get(id).map_or(0, BTreeSet::len) as u32;
+                let known = tracked.get(id).map_or(0, BTreeSet::len) as u32;
                 let tasks = f64::from(leaving.tasks.saturating_sub(known));
                 usage.add(name, leaving.need.cpus * tasks, leaving.need.gpus * tasks);
             }
@@ -120,9 +120,9 @@
     /// The tasks of cancelled jobs that are counted where they are.
     fn held_of_cancelled(&self) -> BTreeMap<&JobId, BTreeSet<u32>> {
         let mut tasks: BTreeMap<&JobId, BTreeSet<u32>> = BTreeMap::new();
-        let on_machines = self.machines.values().flat_map(|machine| &machine.on);
-        for ((task, _), held) in on_machines {
-            if held.forget && !held.exited() && held.room.is_some() {
+        let on_machines = self.machines.values().flat_map(|machine| &machine.attempts);
+        for ((task, _), tracked) in on_machines {
+            if tracked.forget && !tracked.exited() && tracked.room.is_some() {
                 tasks.entry(&task.job).or_default().insert(task.index);
             }
         }
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -185,8 +185,10 @@
                     let slot = &mut slots[*slot];
                     slot.free = slot.free.less(&need);
                     slot.later = slot.later.less(&need);
-                    let held = slot.warm.iter().position(|(image, _)| *image == spec.image);
-                    held.map(|held| slot.warm.remove(held));
+                    let warm = slot.warm.iter().position(|(image, _)| *image == spec.image);
+                    if let Some(warm) = warm {
+                        slot.warm.remove(warm);
+                    }
                     usage.add(&limits.name, need.cpus, need.gpus);
                     let machine = slot.id.clone();
                     self.start(&id, *index, &machine, attempt, now);
@@ -385,10 +387,10 @@
         let mut stops = Vec::new();
         for machine in self.machines.values() {
             let Some(leaves) = machine.leaves else { continue };
-            for ((task, attempt), held) in &machine.on {
-                let due = leaves - now <= held.save_s * 1.1 + margin;
-                if held.stop.is_none() && !held.exited() && due {
-                    let grace = if leaves - now > held.save_s { held.save_s } else { 0.0 };
+            for ((task, attempt), tracked) in &machine.attempts {
+                let due = leaves - now <= tracked.save_s * 1.1 + margin;
+                if tracked.stop.is_none() && !tracked.exited() && due {
+                    let grace = if leaves - now > tracked.save_s { tracked.save_s } else { 0.0 };
                     stops.push((machine.id.clone(), task.clone(), *attempt, grace));
                 }
             }
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -109,7 +109,7 @@
             }
         }
         need.worn = self.worn_teams();
-        self.hurry |= need.wants != self.need.wants;
+        self.sync_soon |= need.wants != self.need.wants;
         self.need = need;
     }
 
--- a/src/core/tracking/tests.rs
+++ b/src/core/tracking/tests.rs
@@ -3,7 +3,7 @@
 use super::super::test_support::{map, owner, record, share};
 use super::super::unresponsive::UnresponsiveMachines;
 use super::super::view::{job_key, put};
-use super::super::{CallId, Effect, Pending};
+use super::super::{CallId, Effect, Pending, WorkerReply};
 use super::*;
 use crate::ids::Term;
 use std::rc::Rc;
@@ -92,21 +92,21 @@
         self.share.orders_answered(&mut self.io, view, &machine, call, reply);
     }
 
-    fn held(&self, index: u32) -> bool {
+    fn tracks(&self, index: u32) -> bool {
         let machine = &self.share.machines[&MachineId::from("m-1")];
-        machine.on.contains_key(&(task(index), Attempt(1)))
+        machine.attempts.contains_key(&(task(index), Attempt(1)))
     }
 
     /// Starts that are issued in a round of placement.
     fn started_in_a_round(&mut self) -> usize {
         let catalog = Catalog::default();
-        let before: usize = self.share.machines.values().map(|m| m.on.len()).sum();
+        let before: usize = self.share.machines.values().map(|m| m.attempts.len()).sum();
         for machine in self.share.machines.values_mut() {
             machine.total = Resources { cpus: 9.0, gpus: 9.0, memory_gb: 9.0 };
             machine.fetch_rate = 1.0;
         }
         self.share.schedule(&self.io, &self.view, &catalog);
-        self.share.machines.values().map(|m| m.on.len()).sum::<usize>() - before
+        self.share.machines.values().map(|m| m.attempts.len()).sum::<usize>() - before
     }
 }
 
@@ -134,13 +134,13 @@
     let held_up = fixture.start(0);
     let refused = fixture.start(1);
     fixture.reply(refused, WorkerReply::NotSent);
-    assert!(fixture.held(0), "its start may still arrive");
-    assert!(!fixture.held(1), "the only message with its start never left");
+    assert!(fixture.tracks(0), "its start may still arrive");
+    assert!(!fixture.tracks(1), "the only message with its start never left");
     fixture.reply(held_up, WorkerReply::Unknown);
     for _ in 0..5 {
         fixture.report("m-1", &[]);
     }
-    assert!(fixture.held(0));
+    assert!(fixture.tracks(0));
     let machine = &fixture.share.machines[&MachineId::from("m-1")];
     assert!(machine.raise, "a fresh token makes it void");
 }
@@ -157,15 +157,15 @@
     for _ in 0..5 {
         fixture.report("m-1", &[]);
     }
-    assert!(fixture.held(0));
+    assert!(fixture.tracks(0));
     fixture.reply(held_up, WorkerReply::Unknown);
     fixture.report("m-1", &[]);
-    assert!(fixture.held(0));
+    assert!(fixture.tracks(0));
     fixture.token = Term(11);
     fixture.give(8, MapOwner { term: Term(11), ..owner("n0") }, owner("n0"));
     fixture.report("m-1", &[]);
     fixture.report("m-1", &[]);
-    assert!(!fixture.held(0), "void under the fresh token, and not there");
+    assert!(!fixture.tracks(0), "void under the fresh token, and not there");
 }
 
 /// What a worker has forgotten it would start again.
@@ -190,7 +190,7 @@
     assert!(matches!(orders[..], [Order::Start { .. }]));
     let answer = fixture.shown("m-1", &[refused_start(0)]);
     fixture.reply(first, WorkerReply::Executed(answer));
-    fixture.share.push.insert("m-1".into());
+    fixture.share.unsent_orders.insert("m-1".into());
     let direct = fixture.push().map(|(_, orders)| orders).unwrap_or_default();
     assert!(!forgets(&direct), "overtakes the answer");
     assert!(forgets(&fixture.report("m-1", &[refused_start(0)])));
@@ -204,7 +204,7 @@
     fixture.give(8, MapOwner { term: Term(10), ..owner("n1") }, owner("n0"));
     fixture.give(9, MapOwner { term: Term(11), ..owner("n0") }, owner("n0"));
     fixture.reply(held_up, WorkerReply::Unknown);
-    assert!(fixture.held(0));
+    assert!(fixture.tracks(0));
     fixture.token = Term(11);
     assert!(forgets(&fixture.report("m-1", &[refused_start(0)])), "shown under the present token");
 }
@@ -218,7 +218,7 @@
     fixture.give(8, MapOwner { term: Term(10), ..owner("n1") }, owner("n0"));
     fixture.give(9, MapOwner { term: Term(11), ..owner("n0") }, owner("n0"));
     fixture.reply(refused, WorkerReply::NotSent);
-    assert!(fixture.held(0));
+    assert!(fixture.tracks(0));
 }
 
 /// An attempt that was one too many is still on its machine when the other ends.
--- a/src/core/upcoming.rs
+++ b/src/core/upcoming.rs
@@ -57,12 +57,12 @@
     /// Jobs all of whose unfinished tasks run and are expected to be done by then.
     fn ending_jobs(&self, by: Time) -> BTreeSet<&JobId> {
         let mut last_end: BTreeMap<&JobId, Time> = BTreeMap::new();
-        for ((task, _), held) in self.machines.values().flat_map(|machine| &machine.on) {
-            if held.exited() {
+        for ((task, _), tracked) in self.machines.values().flat_map(|machine| &machine.attempts) {
+            if tracked.exited() {
                 continue;
             }
             if let Some((id, job)) = self.jobs.get_key_value(&task.job) {
-                let began = held.began.unwrap_or(Time::INFINITY);
+                let began = tracked.began.unwrap_or(Time::INFINITY);
                 let end = last_end.entry(id).or_insert(Time::NEG_INFINITY);
                 *end = end.max(began + job.spec.estimate_s);
             }
@@ -100,10 +100,10 @@
     fn room_of(&self, jobs: &BTreeSet<&JobId>) -> Vec<(MachineId, Resources)> {
         let mut released = Vec::new();
         for machine in self.machines.values() {
-            let held = machine.on.iter().filter(|((task, _), held)| {
-                !held.exited() && held.stop.is_none() && jobs.contains(&task.job)
+            let tracked = machine.attempts.iter().filter(|((task, _), tracked)| {
+                !tracked.exited() && tracked.stop.is_none() && jobs.contains(&task.job)
             });
-            let rooms = held.filter_map(|(_, held)| held.room);
+            let rooms = tracked.filter_map(|(_, tracked)| tracked.room);
             let sum = rooms.fold(Resources::default(), |sum, room| sum.plus(&room));
             if sum != Resources::default() {
                 released.push((machine.id.clone(), sum));
--- a/src/core/upcoming/tests.rs
+++ b/src/core/upcoming/tests.rs
@@ -1,5 +1,5 @@
 use super::super::io::Io;
-use super::super::machines::{Held, Phase};
+use super::super::machines::{Phase, TrackedAttempt};
 use super::super::owned_jobs::describe;
 use super::super::part_map::Share as MapShare;
 use super::super::test_support::{map, owner as map_owner, share};
@@ -50,13 +50,13 @@
     fn run(&mut self, id: u32, index: u32, began: Option<Time>) {
         let id = JobId::from(format!("req-{id:06}"));
         let job = self.owner.jobs.get_mut(&id).unwrap();
-        let mut held = Held::new(0.0);
-        describe(&mut held, &job.spec);
-        held.phase = Phase::Seen(TaskState::Running);
-        held.began = began;
+        let mut tracked = TrackedAttempt::new(0.0);
+        describe(&mut tracked, &job.spec);
+        tracked.phase = Phase::Seen(TaskState::Running);
+        tracked.began = began;
         job.set(index, super::super::jobs::Task::Placed("m-1".into(), Attempt(1)), None);
         let machine = self.owner.machines.get_mut(&MachineId::from("m-1")).unwrap();
-        machine.on.insert((TaskId { job: id, index }, Attempt(1)), held);
+        machine.attempts.insert((TaskId { job: id, index }, Attempt(1)), tracked);
     }
 
     fn upcoming(&mut self, now: Time) -> Upcoming {
