--- a/src/core/machine_orders.rs
+++ b/src/core/machine_orders.rs
@@ -16,7 +16,7 @@
 /// the answers to the next reports, or as soon as others have been answered.
 const ORDERS_PER_SOCKET: f64 = 0.15;
 /// Direct messages to a machine that may arrive late, at which it gets a fresh token.
-const GIVEN_UP_MESSAGES: usize = 8;
+pub(super) const GIVEN_UP_MESSAGES: usize = 8;
 
 impl Owner {
     /// Issues the start of a task.
--- a/src/core/tracking/tests.rs
+++ b/src/core/tracking/tests.rs
@@ -1,3 +1,4 @@
+use super::super::machine_orders::GIVEN_UP_MESSAGES;
 use super::super::part_map::Owner as MapOwner;
 use super::super::part_map::Share;
 use super::super::test_support::{map, owner, record, share};
@@ -61,6 +62,10 @@
     /// A worker reports; what it is told.
     fn report(&mut self, machine: &str, tasks: &[ReportedTask]) -> Vec<Order> {
         let report = self.shown(machine, tasks);
+        self.checkin(report)
+    }
+
+    fn checkin(&mut self, report: Report) -> Vec<Order> {
         let catalog = Catalog::default();
         let answer = self.share.checkin(&mut self.io, &self.view, &catalog, report);
         match answer.unwrap().body {
@@ -69,6 +74,28 @@
         }
     }
 
+    /// The newest report once more.
+    fn clone_of_last(&mut self, machine: &str) -> Report {
+        self.sequence -= 1;
+        self.shown(machine, &[])
+    }
+
+    /// A sibling says that the first machine is settled under a term, without any task.
+    fn observe(&mut self, term: Term) {
+        let update = super::super::peer_sync::PeerUpdate {
+            revision: 100,
+            teams: ["red".into()].into(),
+            listening: false,
+            settled: vec![("m-1".into(), term)],
+            observations: vec![],
+            commands: vec![],
+            need: Default::default(),
+            refused: None,
+            images: Default::default(),
+        };
+        self.share.take_update(&mut self.io, &self.view, &"n1".into(), 1, update);
+    }
+
     /// Starts a task on the first machine; the direct message that tells it so.
     fn start(&mut self, index: u32) -> CallId {
         self.share.start(&JOB.into(), index, &"m-1".into(), Attempt(1), self.io.now);
@@ -93,8 +120,8 @@
     }
 
     fn tracks(&self, index: u32) -> bool {
-        let machine = &self.share.machines[&MachineId::from("m-1")];
-        machine.attempts.contains_key(&(task(index), Attempt(1)))
+        let machine = self.share.machines.get(&MachineId::from("m-1"));
+        machine.is_some_and(|m| m.attempts.contains_key(&(task(index), Attempt(1))))
     }
 
     /// Starts that are issued in a round of placement.
@@ -236,4 +263,98 @@
     assert_eq!(fixture.started_in_a_round(), 0, "it is on the second machine");
     fixture.report("m-2", &[shows(0, 2, TaskState::Exited, Some(Exit::Stopped))]);
     assert_eq!(fixture.started_in_a_round(), 1);
+    assert_eq!(fixture.share.starts_held_back, 0, "known, so the last guard was not needed");
+}
+
+/// A refused message whose start is also in the answer to a report: the task is kept, and nothing is to
+/// be made void.
+#[test]
+fn a_refused_message_costs_no_token_while_an_answer_brings_the_start() {
+    let mut fixture = Fixture::new();
+    let refused = fixture.start(0);
+    fixture.report("m-1", &[]);
+    fixture.reply(refused, WorkerReply::NotSent);
+    assert!(fixture.tracks(0));
+    assert!(!fixture.share.machines[&MachineId::from("m-1")].raise);
+}
+
+/// What voids a start under way: then a task that is not shown is not there, and may start elsewhere.
+#[test]
+fn a_start_under_way_is_void_once_its_machine_cannot_execute_it() {
+    let tracked_after = |happens: fn(&mut Fixture)| {
+        let mut fixture = Fixture::new();
+        let late = fixture.start(0);
+        fixture.reply(late, WorkerReply::Unknown);
+        happens(&mut fixture);
+        fixture.tracks(0)
+    };
+    assert!(tracked_after(|_| {}));
+    assert!(!tracked_after(|fixture| {
+        let later = Report { session: 2, ..fixture.shown("m-1", &[]) };
+        fixture.checkin(later);
+    }));
+    assert!(!tracked_after(|fixture| {
+        fixture.view.current_as_of = 1000.0;
+        fixture.share.expire_machines(&fixture.view, 1000.0);
+    }));
+    assert!(!tracked_after(|fixture| fixture.share.remove_machine(&"m-1".into(), 1.0)));
+    assert!(!tracked_after(|fixture| {
+        fixture.give(8, MapOwner { term: Term(10), ..owner("n1") }, owner("n0"));
+        fixture.observe(Term(10));
+    }));
+}
+
+/// What proves nothing: a report with a lower token, a copy, what a former owner or an earlier term says.
+#[test]
+fn reports_and_observations_that_prove_nothing_leave_a_task_where_it_may_be() {
+    let mut fixture = Fixture::new();
+    let late = fixture.start(0);
+    let older = fixture.clone_of_last("m-1");
+    fixture.reply(late, WorkerReply::Executed(older));
+    assert!(fixture.tracks(0), "the answer is older than what was taken up");
+    fixture.share.stop(&"m-1".into(), &task(0), Attempt(1), 0.0);
+    fixture.give(8, MapOwner { term: Term(11), ..owner("n0") }, owner("n0"));
+    for _ in 0..5 {
+        fixture.report("m-1", &[]);
+    }
+    assert!(fixture.tracks(0), "shown under a lower token");
+    fixture.observe(Term(9));
+    assert!(fixture.tracks(0), "not the owner of the machine");
+    fixture.give(9, MapOwner { term: Term(12), ..owner("n1") }, owner("n0"));
+    fixture.observe(Term(9));
+    assert!(fixture.tracks(0), "an earlier term");
+    fixture.observe(Term(12));
+    assert!(!fixture.tracks(0));
+}
+
+/// The last guard: a task that waits by a fault of the tracking is not started beside its attempt.
+#[test]
+fn a_second_attempt_is_held_back_and_counted() {
+    let mut fixture = Fixture::new();
+    fixture.start(0);
+    let job = fixture.share.jobs.get_mut(&JOB.into()).unwrap();
+    job.set(0, Task::Waiting, None);
+    assert_eq!(fixture.started_in_a_round(), 1, "the other task of the job only");
+    assert_eq!(fixture.share.starts_held_back, 1);
+}
+
+/// A worker that answers no direct message is told everything in the answers to its reports, and gets
+/// a fresh token now and then, so that what may arrive late stays bounded.
+#[test]
+fn a_worker_that_never_answers_gets_a_fresh_token() {
+    let mut fixture = Fixture::new();
+    let raised = |fixture: &Fixture| fixture.share.machines[&MachineId::from("m-1")].raise;
+    for attempt in 1..=GIVEN_UP_MESSAGES {
+        assert!(!raised(&fixture));
+        let number = Attempt(attempt as u64);
+        fixture.share.start(&JOB.into(), 0, &"m-1".into(), number, 0.0);
+        let (call, orders) = fixture.push().unwrap();
+        let starts = orders.iter().filter(|order| matches!(order, Order::Start { .. }));
+        assert_eq!(starts.count(), 1, "what was seen needs no other start");
+        fixture.reply(call, WorkerReply::Unknown);
+        let running: Vec<ReportedTask> =
+            (1..=attempt as u64).map(|number| shows(0, number, TaskState::Running, None)).collect();
+        fixture.report("m-1", &running);
+    }
+    assert!(raised(&fixture));
 }
