--- /dev/null
+++ b/tests/days/crowded.rs
@@ -0,0 +1,64 @@
+//! Days on tens of machines on which every kind of trouble overlaps with direct orders that go wrong.
+
+use super::orders::work;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Many short tasks on tens of machines, cancelled, stopped and drained, while controllers end, stand
+/// still and are cut off, the state service is late, machines hang, are cut off or hear nothing, and
+/// direct orders are refused, late or unanswered.
+pub fn crowded_day(seed: u64) -> String {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let controllers = if seed.is_multiple_of(2) { 5 } else { 3 };
+    let machines = rng.random_range(10..26);
+    let mut day = format!("seed {seed}\ncontrollers {controllers}\nmachines {machines}\nspot 4\n");
+    let jobs = rng.random_range(50..100);
+    for job in 1..=jobs {
+        let at = f64::from(rng.random_range(10..1300)) / 10.0;
+        day += &format!("at {at} job {}\n", work(&mut rng));
+        if rng.random_bool(0.25) {
+            let later = at + f64::from(rng.random_range(1..120)) / 10.0;
+            day += &format!("at {later} cancel {job}\n");
+        }
+    }
+    for _ in 0..4 {
+        let at = rng.random_range(5..100);
+        let kind = ["late_orders", "refused_orders", "lost_order_answers"][rng.random_range(0..3)];
+        day += &format!("at {at} {kind} {}\n", rng.random_range(15..50));
+    }
+    for _ in 0..rng.random_range(12..26) {
+        let at = f64::from(rng.random_range(50..1300)) / 10.0;
+        day += &format!("at {at} {}\n", trouble(&mut rng, machines + 4));
+    }
+    day + "until 360\n"
+}
+
+fn trouble(rng: &mut StdRng, machines: usize) -> String {
+    let which = rng.random_range(0..machines);
+    let moment = f64::from(rng.random_range(2..80)) / 10.0;
+    let spell = rng.random_range(2..25);
+    let who = ["leader", "n0", "n1", "n2"][rng.random_range(0..4)];
+    let hold = ["", "hold"][rng.random_range(0..2)];
+    match rng.random_range(0..24) {
+        0 | 1 => format!("machine_hangs {which} {moment}"),
+        2 => format!("machine_refuses {which} {moment}"),
+        3 => format!("machine_deaf {which} {spell}"),
+        4 | 5 => format!("machine_cut {which} {moment} {hold}"),
+        6 => format!("machine_mute {which} {spell}"),
+        7 => format!("copies {spell}"),
+        8 => format!("copies_for_next {spell}"),
+        9 | 10 => format!("crash {who} {moment}"),
+        11 => format!("crash all {moment}"),
+        12 | 13 => format!("freeze {who} {spell}"),
+        14 => format!("notice {which} {}", rng.random_range(2..12)),
+        15 => format!("refuse {who} {spell}"),
+        16 => format!("cut {who} workers {spell} {hold}"),
+        17 => format!("cut {who} state+siblings {spell} {hold}"),
+        18 => format!("cut {who} everyone {spell} {hold}"),
+        19 => format!("zone_cut b {spell} {hold}"),
+        20 => format!("outage {spell}"),
+        21 => format!("late_writes {spell}"),
+        22 => format!("lost_answers {spell}"),
+        _ => format!("roll {}", rng.random_range(2..9)),
+    }
+}
--- a/tests/days/orders.rs
+++ b/tests/days/orders.rs
@@ -33,7 +33,7 @@
     day + "until 330\n"
 }
 
-fn work(rng: &mut StdRng) -> String {
+pub fn work(rng: &mut StdRng) -> String {
     let run = f64::from(rng.random_range(2..120)) / 10.0;
     let tasks = rng.random_range(1..7);
     let gpus = rng.random_range(1..5);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -850,6 +850,18 @@
     assert!(failures.is_empty(), "{} days:\n{}", failures.len(), failures.join("\n\n"));
 }
 
+/// Tens of machines, every trouble at once.
+#[test]
+fn crowded_days() {
+    // More days by hand: CROWDED_DAYS=from-to.
+    let mut failures = Vec::new();
+    for seed in seeds("CROWDED_DAYS", "1-15") {
+        let day = days::crowded_day(seed);
+        failures.extend(report(&format!("crowded day {seed}\n{day}"), &play(&day)));
+    }
+    assert!(failures.is_empty(), "{} days:\n{}", failures.len(), failures.join("\n\n"));
+}
+
 #[test]
 fn meeting_days() {
     // More days by hand: MEETING_DAYS=from-to.
