--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Shares of processes that have ended go to the restarted controller, or to an successor as a
+    /// Shares of processes that have ended go to the restarted controller, or to a successor as a
     /// whole, so that teams stay with the machines their tasks are on.
     fn hand_on(
         &mut self,
--- a/src/core/lease_expiry.rs
+++ b/src/core/lease_expiry.rs
@@ -74,7 +74,6 @@
     pub(super) fn remove_machine(&mut self, id: &MachineId, now: Time) {
         let Some(machine) = self.machines.get(id) else { return };
         let gone: Vec<_> = machine.attempts.keys().cloned().collect();
-        self.starts_in_flight.void(id);
         for (task, attempt) in gone {
             self.drop_attempt(id, &task, attempt, now);
         }
--- a/src/core/machine_orders.rs
+++ b/src/core/machine_orders.rs
@@ -81,6 +81,7 @@
         }
     }
 
+    /// Sends the orders that machines have not been told yet, as many messages at once as there may be.
     pub(super) fn push_orders(&mut self, io: &mut Io) {
         let sockets = self.config.deployment.limits.fd_limit as f64;
         let most = (sockets * ORDERS_PER_SOCKET).ceil() as usize;
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -240,6 +240,7 @@
             }
         }
         // The leader takes a machine off the map once it is deleted.
+        self.starts_in_flight.retain(|id| owners.machines.contains_key(id));
         let gone: Vec<MachineId> =
             self.machines.keys().filter(|id| !owners.machines.contains_key(*id)).cloned().collect();
         let teams = owners.teams.iter().filter(|(_, owner)| mine(owner));
--- a/src/core/starts_in_flight.rs
+++ b/src/core/starts_in_flight.rs
@@ -118,7 +118,12 @@
         }
     }
 
-    /// The session in which everything was sent is over, or the machine is gone.
+    /// Keeps what is under way to these machines; the others are gone.
+    pub fn retain(&mut self, known: impl Fn(&MachineId) -> bool) {
+        self.machines.retain(|machine, _| known(machine));
+    }
+
+    /// The session in which everything was sent is over.
     pub fn void(&mut self, machine: &MachineId) {
         self.machines.remove(machine);
     }
--- a/src/core/tracking/tests.rs
+++ b/src/core/tracking/tests.rs
@@ -43,6 +43,15 @@
         self.share.follow_map(&mut self.io, &self.view, &quiet);
     }
 
+    /// The leader takes the first machine off the map, for it is deleted.
+    fn delete_first(&mut self) {
+        let rest =
+            Share { owner: owner("n0"), teams: vec!["red".into()], machines: vec!["m-2".into()] };
+        map(&mut self.view, 8, vec![rest]);
+        let quiet = UnresponsiveMachines::default();
+        self.share.follow_map(&mut self.io, &self.view, &quiet);
+    }
+
     fn shown(&mut self, machine: &str, tasks: &[ReportedTask]) -> Report {
         self.sequence += 1;
         Report {
@@ -297,7 +306,7 @@
         fixture.view.current_as_of = 1000.0;
         fixture.share.expire_machines(&fixture.view, 1000.0);
     }));
-    assert!(!tracked_after(|fixture| fixture.share.remove_machine(&"m-1".into(), 1.0)));
+    assert!(!tracked_after(Fixture::delete_first));
     assert!(!tracked_after(|fixture| {
         fixture.give(8, MapOwner { term: Term(10), ..owner("n1") }, owner("n0"));
         fixture.observe(Term(10));
