--- a/tests/days/crowded.rs
+++ b/tests/days/crowded.rs
@@ -6,7 +6,7 @@
 
 /// Many short tasks on tens of machines, cancelled, stopped and drained, while controllers end, stand
 /// still and are cut off, the state service is late, machines hang, are cut off or hear nothing, and
-/// direct orders are refused, late or unanswered.
+/// direct orders are refused, late or unanswered. On every third day they are upgraded meanwhile.
 pub fn crowded_day(seed: u64) -> String {
     let mut rng = StdRng::seed_from_u64(seed);
     let controllers = if seed.is_multiple_of(2) { 5 } else { 3 };
@@ -30,9 +30,19 @@
         let at = f64::from(rng.random_range(50..1300)) / 10.0;
         day += &format!("at {at} {}\n", trouble(&mut rng, machines + 4));
     }
+    if seed.is_multiple_of(3) {
+        day += &upgrade(&mut rng);
+    }
     day + "until 360\n"
 }
 
+/// All controllers begin with the version before and are upgraded one after the other.
+fn upgrade(rng: &mut StdRng) -> String {
+    let (at, every) = (rng.random_range(15..60), rng.random_range(3..12));
+    let order = ["", "last_first", "leader_first", "leader_last"][rng.random_range(0..4)];
+    format!("old\nat {at} upgrade {every} {order}\n")
+}
+
 fn trouble(rng: &mut StdRng, machines: usize) -> String {
     let which = rng.random_range(0..machines);
     let moment = f64::from(rng.random_range(2..80)) / 10.0;
