--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -54,7 +54,7 @@
 enum Lease {
     None,
     Creating,
-    TrackedAttempt(u64),
+    Held(u64),
 }
 
 pub struct Authority {
@@ -144,7 +144,7 @@
 
     /// Whether this process may command the machines that the map gives it.
     pub fn entitled(&self, now: Time) -> bool {
-        matches!(self.lease, Lease::TrackedAttempt(_))
+        matches!(self.lease, Lease::Held(_))
             && now < self.informed + self.outlast
             && (now < self.store_until() || now < self.vouched_until())
     }
@@ -183,13 +183,13 @@
     pub fn leads(&self, view: &View) -> Option<Version> {
         let leader = view.leader()?;
         let mine = leader.record.node == self.node && leader.record.incarnation == self.incarnation;
-        (mine && matches!(self.lease, Lease::TrackedAttempt(_))).then_some(leader.version)
+        (mine && matches!(self.lease, Lease::Held(_))).then_some(leader.version)
     }
 
     pub fn wants_voucher(&self, now: Time) -> Option<u64> {
         // A restarted controller's own word counts only after one voucher time; and a majority
         // needs that word, which the leader may have by now for the hand-over of this share.
-        let wants = matches!(self.lease, Lease::TrackedAttempt(_))
+        let wants = matches!(self.lease, Lease::Held(_))
             && now - self.renewed > self.ttl * 0.5
             && now > self.voucher
             && !self.revoked.contains(&self.myself());
@@ -290,7 +290,7 @@
                     return;
                 }
                 if let StateReply::Lease(lease) = reply {
-                    self.authority.lease = Lease::TrackedAttempt(lease);
+                    self.authority.lease = Lease::Held(lease);
                     self.authority.renewed = sent;
                     self.authority.next_renewal = sent + self.authority.ttl / 3.0;
                 } else {
@@ -299,7 +299,7 @@
                 }
             }
             AuthorityCall::Register { lease } | AuthorityCall::Claim { lease } => {
-                if self.authority.lease != Lease::TrackedAttempt(lease) {
+                if self.authority.lease != Lease::Held(lease) {
                     return;
                 }
                 // Written, or perhaps, or not: the view tells, once it is that far.
@@ -311,7 +311,7 @@
                 }
             }
             AuthorityCall::Renew { lease, sent } => {
-                if self.authority.lease != Lease::TrackedAttempt(lease) {
+                if self.authority.lease != Lease::Held(lease) {
                     return;
                 }
                 self.authority.renewing = false;
@@ -363,7 +363,7 @@
                 self.io.state(pending, StateCall::LeaseCreate { ttl_ms });
             }
             Lease::None | Lease::Creating => {}
-            Lease::TrackedAttempt(lease) => {
+            Lease::Held(lease) => {
                 if !self.authority.renewing && now >= self.authority.next_renewal {
                     self.authority.renewing = true;
                     let pending = Pending::Authority(AuthorityCall::Renew { lease, sent: now });
--- a/src/core/authority/tests.rs
+++ b/src/core/authority/tests.rs
@@ -33,7 +33,7 @@
             &format!("[[siblings]]\nhost_name = \"n{sibling}\"\naddr = \"127.0.0.1:{sibling}\"\n");
     }
     let mut authority = Authority::new(&Config::parse(&settings).unwrap(), 1);
-    authority.lease = Lease::TrackedAttempt(5);
+    authority.lease = Lease::Held(5);
     authority.renewed = 0.0;
     authority.informed(0.0);
     authority
--- a/src/core/peer_sync.rs
+++ b/src/core/peer_sync.rs
@@ -19,8 +19,8 @@
     /// The sender's view of the state service was this far: it has seen every change of the map
     /// up to here, and starts nothing that those took from it.
     pub revision: Version,
-    /// Whose tasks the observations tell of: the receiver's teams as the sender knows the map. If that has
-    /// seen a team go elsewhere before the receiver did, its silence about that team says nothing.
+    /// Whose tasks the observations tell of: the receiver's teams as the sender knows the map. If that
+    /// has seen a team go elsewhere before the receiver did, its silence about that team says nothing.
     pub teams: BTreeSet<Team>,
     /// The sender wants to know of all the receiver's machines.
     pub listening: bool,
--- a/src/core/quota.rs
+++ b/src/core/quota.rs
@@ -101,7 +101,7 @@
         if unsettled.is_empty() {
             return;
         }
-        let tracked = self.held_of_cancelled();
+        let tracked = self.tracked_of_cancelled();
         let recent_ms = self.config.deployment.workers.cancel_s * CANCELLED_COUNTS * 1e3;
         let recent = wall_ms.saturating_sub(recent_ms as u64);
         for (name, team) in unsettled {
@@ -118,7 +118,7 @@
     }
 
     /// The tasks of cancelled jobs that are counted where they are.
-    fn held_of_cancelled(&self) -> BTreeMap<&JobId, BTreeSet<u32>> {
+    fn tracked_of_cancelled(&self) -> BTreeMap<&JobId, BTreeSet<u32>> {
         let mut tasks: BTreeMap<&JobId, BTreeSet<u32>> = BTreeMap::new();
         let on_machines = self.machines.values().flat_map(|machine| &machine.attempts);
         for ((task, _), tracked) in on_machines {
