--- a/tests/days/crowded.rs
+++ b/tests/days/crowded.rs
@@ -1,6 +1,6 @@
 //! Days on tens of machines on which every kind of trouble overlaps with direct orders that go wrong.
 
-use super::orders::work;
+use super::orders::short_jobs;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -13,14 +13,7 @@
     let machines = rng.random_range(10..26);
     let mut day = format!("seed {seed}\ncontrollers {controllers}\nmachines {machines}\nspot 4\n");
     let jobs = rng.random_range(50..100);
-    for job in 1..=jobs {
-        let at = f64::from(rng.random_range(10..1300)) / 10.0;
-        day += &format!("at {at} job {}\n", work(&mut rng));
-        if rng.random_bool(0.25) {
-            let later = at + f64::from(rng.random_range(1..120)) / 10.0;
-            day += &format!("at {later} cancel {job}\n");
-        }
-    }
+    day += &short_jobs(&mut rng, jobs, 0.25, 12.0);
     for _ in 0..4 {
         let at = rng.random_range(5..100);
         let kind = ["late_orders", "refused_orders", "lost_order_answers"][rng.random_range(0..3)];
--- a/tests/days/orders.rs
+++ b/tests/days/orders.rs
@@ -12,14 +12,7 @@
     let machines = rng.random_range(3..8);
     let mut day = format!("seed {seed}\ncontrollers {controllers}\nmachines {machines}\nspot 2\n");
     let jobs = rng.random_range(30..60);
-    for job in 1..=jobs {
-        let at = f64::from(rng.random_range(10..1300)) / 10.0;
-        day += &format!("at {at} job {}\n", work(&mut rng));
-        if rng.random_bool(0.3) {
-            let later = at + f64::from(rng.random_range(1..80)) / 10.0;
-            day += &format!("at {later} cancel {job}\n");
-        }
-    }
+    day += &short_jobs(&mut rng, jobs, 0.3, 8.0);
     for _ in 0..3 {
         let at = rng.random_range(5..90);
         let kind = ["late_orders", "late_orders", "refused_orders", "lost_order_answers"];
@@ -33,7 +26,21 @@
     day + "until 330\n"
 }
 
-pub fn work(rng: &mut StdRng) -> String {
+/// That many jobs of short tasks; a part of them is cancelled, at most so many seconds after it came.
+pub fn short_jobs(rng: &mut StdRng, jobs: u32, cancelled: f64, within_s: f64) -> String {
+    let mut lines = String::new();
+    for job in 1..=jobs {
+        let at = f64::from(rng.random_range(10..1300)) / 10.0;
+        lines += &format!("at {at} job {}\n", work(rng));
+        if rng.random_bool(cancelled) {
+            let later = at + f64::from(rng.random_range(1..(within_s * 10.0) as i32)) / 10.0;
+            lines += &format!("at {later} cancel {job}\n");
+        }
+    }
+    lines
+}
+
+fn work(rng: &mut StdRng) -> String {
     let run = f64::from(rng.random_range(2..120)) / 10.0;
     let tasks = rng.random_range(1..7);
     let gpus = rng.random_range(1..5);
