Workspace with crates/quota-ledger: a team's limit as fenced grants in one guarded record

Need: a team's limit is kept by its one owner, and a new owner counts everything that its predecessor might have started, so it can start next to nothing of a limited team until all machines have told.

Nothing uses it yet.

--- /dev/null
+++ b/crates/quota-ledger/tests/interleaving.rs
@@ -0,0 +1,104 @@
+//! Seeded schedules of grants, recalls, losses, freezes and restarts: the limit is never passed, and
+//! each guard is needed for that.
+
+mod model;
+
+use model::{LIMIT_GPUS, Model, Removed};
+
+/// Schedules that CI plays; more by hand: `LEDGER_SCHEDULES=from-to`.
+const SCHEDULES: std::ops::Range<u64> = 0..2000;
+const THREADS: usize = 4;
+/// Schedules within which a missing guard has to show.
+const TRIES: u64 = 1000;
+
+fn schedules() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var("LEDGER_SCHEDULES") else { return SCHEDULES };
+    let (from, to) = text.split_once('-').expect("from-to");
+    from.parse().expect("a number")..to.parse::<u64>().expect("a number") + 1
+}
+
+#[test]
+fn the_limit_is_never_passed_and_everything_is_served() {
+    let counts = std::thread::scope(|scope| {
+        let parts: Vec<_> = (0..THREADS).map(|part| scope.spawn(move || play_part(part))).collect();
+        parts
+            .into_iter()
+            .map(|part| part.join().expect("a part"))
+            .fold(Counts::default(), Counts::plus)
+    });
+    println!("{counts:?}");
+    assert!(counts.starts > 0 && counts.crashes > 0 && counts.limit_reached > 0);
+}
+
+/// What happened in some schedules.
+#[derive(Debug, Default)]
+struct Counts {
+    starts: usize,
+    crashes: usize,
+    writes: usize,
+    /// Schedules in which nearly all of the limit was in use.
+    limit_reached: usize,
+}
+
+impl Counts {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            starts: self.starts + other.starts,
+            crashes: self.crashes + other.crashes,
+            writes: self.writes + other.writes,
+            limit_reached: self.limit_reached + other.limit_reached,
+        }
+    }
+}
+
+/// Plays every so many-th schedule.
+fn play_part(part: usize) -> Counts {
+    let mut counts = Counts::default();
+    for seed in schedules().skip(part).step_by(THREADS) {
+        let mut model = Model::new(seed, Removed::Nothing);
+        model.play().unwrap_or_else(|overshoot| panic!("schedule {seed}: {overshoot}"));
+        assert_eq!(model.unsettled(), None, "schedule {seed}");
+        counts = counts.plus(Counts {
+            starts: model.started,
+            crashes: model.crashes,
+            writes: model.writes,
+            limit_reached: usize::from(model.most_running > LIMIT_GPUS * 0.9),
+        });
+    }
+    counts
+}
+
+/// The first schedule in which the limit is passed without a guard.
+fn found_without(removed: Removed) -> Option<u64> {
+    (0..TRIES).find(|seed| Model::new(*seed, removed).play().is_err())
+}
+
+#[test]
+fn without_version_guards_the_limit_is_passed() {
+    assert!(found_without(Removed::VersionGuard).is_some());
+}
+
+#[test]
+fn without_confirmation_the_limit_is_passed() {
+    assert!(found_without(Removed::Confirmation).is_some());
+}
+
+#[test]
+fn without_counting_writes_in_doubt_the_limit_is_passed() {
+    assert!(found_without(Removed::Doubt).is_some());
+}
+
+#[test]
+fn without_evidence_the_limit_is_passed() {
+    assert!(found_without(Removed::Evidence).is_some());
+}
+
+#[test]
+fn without_fenced_workers_the_limit_is_passed() {
+    assert!(found_without(Removed::Fencing).is_some());
+}
+
+#[test]
+fn without_counting_starts_under_way_the_limit_is_passed() {
+    assert!(found_without(Removed::StartsUnderWay).is_some());
+}
