--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,8 +1,9 @@
 //! The command line.
 
 use crate::config::Config;
+use crate::features::Features;
 use clap::{Parser, Subcommand};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::filter::LevelFilter;
 
@@ -12,6 +13,9 @@
     /// Run a controller with this settings file.
     #[arg(long, value_name = "FILE")]
     config: Option<PathBuf>,
+    /// What is switched on beyond the service as it was.
+    #[arg(long, value_name = "FILE")]
+    features: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -20,6 +24,8 @@
 enum Command {
     /// Check a settings file and end.
     CheckConfig { file: PathBuf },
+    /// Check a features file and end.
+    CheckFeatures { file: PathBuf },
 }
 
 /// What a wrong call or wrong settings end with.
@@ -28,24 +34,34 @@
 pub fn main() -> ExitCode {
     let args = Args::parse();
     match (args.command, args.config) {
-        (Some(Command::CheckConfig { file }), _) => match Config::load(&file) {
-            Ok(_) => {
-                println!("{}: ok", file.display());
-                ExitCode::SUCCESS
-            }
-            Err(e) => fail(&e),
-        },
-        (None, Some(file)) => run(&file),
+        (Some(Command::CheckConfig { file }), _) => checked(&file, Config::load(&file)),
+        (Some(Command::CheckFeatures { file }), _) => checked(&file, Features::load(&file)),
+        (None, Some(file)) => run(&file, args.features.as_deref()),
         (None, None) => fail(&"--config FILE is needed (see --help)"),
     }
 }
 
-fn run(file: &std::path::Path) -> ExitCode {
+/// Says whether a file is as it should be.
+fn checked<T, E: std::fmt::Display>(file: &Path, loaded: Result<T, E>) -> ExitCode {
+    match loaded {
+        Ok(_) => {
+            println!("{}: ok", file.display());
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(&e),
+    }
+}
+
+fn run(file: &Path, features: Option<&Path>) -> ExitCode {
     init_log();
-    let config = match Config::load(file) {
+    let mut config = match Config::load(file) {
         Ok(config) => config,
         Err(e) => return fail(&e),
     };
+    config.features = match features.map(Features::load).transpose() {
+        Ok(features) => features.unwrap_or_default(),
+        Err(e) => return fail(&e),
+    };
     match crate::service::run(config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,6 @@
 //! The platform's settings file, checked before anything starts.
 
+use crate::features::Features;
 use crate::ids::{Node, Team, Zone};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -28,6 +29,9 @@
     pub siblings: Vec<Sibling>,
     pub services: Services,
     pub deployment: Deployment,
+    /// What the installation switches on, from a file of its own.
+    #[serde(skip)]
+    pub features: Features,
 }
 
 #[derive(Debug, Clone, Deserialize)]
--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -408,6 +408,7 @@
             node: self.authority.node.clone(),
             incarnation: self.authority.incarnation,
             lease,
+            keeps_grants: super::team_grants::are_on(&self.config),
         };
         let known = self.view.node(&record.node);
         let (key, version, call) = if known.is_none_or(|known| known.record != record) {
--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -6,6 +6,7 @@
 use super::pacing::Pacing;
 use super::peers::{MeshMessage, MeshReply};
 use super::renting::CloudWork;
+use super::team_grants::GrantWrite;
 use super::user_requests::UserWrite;
 use super::{Answer, CallId, CloudCall, Effect, RequestId, StateCall, StateReply, Time};
 use crate::config::Config;
@@ -25,6 +26,8 @@
     Authority(AuthorityCall),
     Records(Vec<RecordWrite>),
     Map(MapWrite),
+    /// A team's record of grants.
+    Grant(GrantWrite),
     /// The machine types are written.
     Types(Write),
     Orders {
@@ -50,7 +53,11 @@
     /// Whether it is the reply to a change in the state service.
     pub fn is_change(&self) -> bool {
         match self {
-            Self::UserWrite(_) | Self::Records(_) | Self::Map(_) | Self::Types(_) => true,
+            Self::UserWrite(_)
+            | Self::Records(_)
+            | Self::Map(_)
+            | Self::Types(_)
+            | Self::Grant(_) => true,
             Self::Authority(call) => call.is_change(),
             _ => false,
         }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -51,6 +51,8 @@
     pub(super) needs: BTreeMap<Node, Need>,
     /// Machines that reported and are not on the map.
     newcomers: BTreeMap<MachineId, Offer>,
+    /// Living processes that keep to grants of team limits, if all of them do.
+    pub(super) grant_keepers: BTreeSet<Process>,
     pub(super) next_round: Time,
     /// When a machine in use may next move for what waits.
     pub(super) next_urgent: Time,
@@ -77,6 +79,7 @@
             reread: false,
             needs: BTreeMap::new(),
             newcomers: BTreeMap::new(),
+            grant_keepers: BTreeSet::new(),
             next_round: now,
             next_urgent: now,
             cloud: CloudRequests::new(config, now, fresh),
@@ -123,12 +126,14 @@
             }
             // A fresh deployment waits for its controllers, so that shares start equal.
             let all_here = living.len() >= self.config.controllers();
+            self.note_grant_keepers(view);
             if all_here || !self.map.owners.teams.is_empty() || now > self.started + authority.ttl()
             {
                 let guards = self.hand_on(view, authority, peers, unresponsive, &living, now);
                 self.take_in(&living);
                 self.renumber(&living);
                 self.rebalance(&living, now);
+                self.note_grants();
                 self.write(io, guards);
             }
         }
@@ -148,6 +153,8 @@
 
     pub(super) fn give_team(&mut self, team: &Team, to: &Node, incarnation: u64) {
         if let Some(owner) = self.owner(to, incarnation) {
+            let keeps_grants = self.keeps_grants(&owner);
+            self.map.carry_grants(team, &owner, keeps_grants);
             self.map.set_team(team, owner);
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -35,6 +35,7 @@
 pub mod starts_in_flight;
 pub mod supply;
 pub mod task_index;
+pub mod team_grants;
 #[cfg(test)]
 mod test_support;
 pub mod token_bucket;
@@ -352,6 +353,11 @@
                     leader.map_written(&mut self.io, &mut self.view, write, reply);
                 }
             }
+            Pending::Grant(written) => {
+                if let Some(owner) = self.owner.as_mut() {
+                    owner.grant_written(&mut self.io, &mut self.view, written, reply);
+                }
+            }
             Pending::Types(write) => match reply {
                 StateReply::Committed(version) => self.view.apply_write(&write, version),
                 StateReply::Rejected => self.catalog.not_storable(),
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -15,6 +15,7 @@
 use super::starts_in_flight::StartsInFlight;
 use super::supply::{Need, Offer};
 use super::task_index::TaskIndex;
+use super::team_grants::TeamGrant;
 use super::token_bucket::TokenBucket;
 use super::unresponsive::UnresponsiveMachines;
 use super::view::{JobRecord, View};
@@ -31,6 +32,15 @@
     /// Machines that may still hold tasks of it which nobody has told of.
     pub unsettled: BTreeSet<MachineId>,
     attempts: u64,
+    /// Its part in the team's record of grants.
+    pub(super) grant: Option<TeamGrant>,
+}
+
+impl OwnedTeam {
+    /// The term under which it is owned.
+    pub(super) fn term(&self) -> Term {
+        self.term
+    }
 }
 
 pub struct Owner {
@@ -142,6 +152,7 @@
     ) {
         let now = io.now;
         self.follow_map(io, view, unresponsive);
+        self.follow_grants(view);
         for id in view.take_changed() {
             if let Some(stored) = view.job(&id) {
                 let (record, version) = (stored.record.clone(), stored.version);
@@ -181,7 +192,7 @@
     }
 
     /// A round of placement looks at the whole share, so changes that come close together share one.
-    fn place_when_due(&mut self, io: &Io, view: &View, catalog: &Catalog) {
+    fn place_when_due(&mut self, io: &mut Io, view: &View, catalog: &Catalog) {
         let workers = &self.config.deployment.workers;
         let since = io.now - self.scheduled;
         let due = self.changed && since >= workers.lease_s * ROUND_LEASES;
@@ -192,7 +203,9 @@
         self.scheduled = io.now;
         self.rounds += 1;
         self.drain(io.now);
-        self.schedule(io, view, catalog);
+        let mut usage = self.usage(view, io.wall_ms);
+        self.schedule(io.now, &mut usage, catalog);
+        self.write_grants(io, view, &usage);
     }
 
     /// Attempts and jobs looked at so far because something happened to them, and rounds of placement.
@@ -213,6 +226,9 @@
             return;
         }
         let now = io.now;
+        let wanted = self.teams_on_map(view);
+        let lost = self.lost_teams(&wanted);
+        self.release_grants(io, view, &lost);
         let owners = view.owners();
         let with_teams: BTreeSet<&Node> = owners.teams.values().map(|owner| &owner.node).collect();
         self.record_rate.set_rate(write_rate(&self.config, with_teams.len().max(1)));
@@ -251,17 +267,9 @@
         self.starts_in_flight.retain(|id| owners.machines.contains_key(id));
         let gone: Vec<MachineId> =
             self.machines.keys().filter(|id| !owners.machines.contains_key(*id)).cloned().collect();
-        let teams = owners.teams.iter().filter(|(_, owner)| mine(owner));
-        let wanted: BTreeMap<Team, Term> = teams.map(|(t, o)| (t.clone(), o.term)).collect();
         for id in gone {
             self.remove_machine(&id, now);
         }
-        // Under another term a team may have been elsewhere since this process last read the map, so
-        // it is lost and gained anew.
-        let kept = |(team, owned): &(&Team, &OwnedTeam)| wanted.get(*team) == Some(&owned.term);
-        let teams = self.teams.iter();
-        let lost: Vec<Team> =
-            teams.filter(|owned| !kept(owned)).map(|(team, _)| team.clone()).collect();
         for team in lost {
             tracing::info!("team {team} goes to another controller, or has been with one");
             self.teams.remove(&team);
@@ -295,14 +303,31 @@
         });
     }
 
+    /// The teams that the map gives to this process, and under which terms.
+    fn teams_on_map(&self, view: &View) -> BTreeMap<Team, Term> {
+        let teams = view.owners().teams.iter();
+        let mine = teams.filter(|(_, owner)| owner.is(&self.config.node, self.incarnation));
+        mine.map(|(team, owner)| (team.clone(), owner.term)).collect()
+    }
+
+    /// Teams that are no longer ours. Under another term a team may have been elsewhere since this
+    /// process last read the map, so it is lost and gained anew.
+    fn lost_teams(&self, wanted: &BTreeMap<Team, Term>) -> Vec<Team> {
+        let kept = |team: &Team, owned: &OwnedTeam| wanted.get(team) == Some(&owned.term);
+        let lost = self.teams.iter().filter(|(team, owned)| !kept(team, owned));
+        lost.map(|(team, _)| team.clone()).collect()
+    }
+
     /// Nothing of a team that is new here is started until every machine in the map has shown
     /// what it holds, or is known empty. Jobs that appear later were started by nobody else.
     fn gain_team(&mut self, io: &mut Io, view: &View, team: Team, term: Term) {
         tracing::info!("team {team} is ours under term {}", term.0);
         let unsettled = view.owners().machines.keys().cloned().collect();
         let gained = view.map_revision();
-        let owned = OwnedTeam { term, gained, unsettled, attempts: 0 };
+        let grant = self.new_team_grant(&team, term);
+        let owned = OwnedTeam { term, gained, unsettled, attempts: 0, grant };
         self.teams.insert(team.clone(), owned);
+        self.follow_grants(view);
         self.settle_when_known(view);
         let of_team = |record: &JobRecord| record.spec.as_ref().is_some_and(|s| s.team == team);
         for (id, stored) in view.jobs() {
@@ -368,6 +393,11 @@
         (team.attempts < ATTEMPTS).then_some(Attempt(team.term.0 * ATTEMPTS + team.attempts))
     }
 
+    /// Whether an attempt of a team's task was started here since the team was gained.
+    pub(super) fn started_here(&self, team: &Team, attempt: Attempt) -> bool {
+        self.teams.get(team).is_some_and(|owned| attempt.0 / ATTEMPTS == owned.term.0)
+    }
+
     /// Teams whose term is running out of attempt numbers.
     pub(super) fn worn_teams(&self) -> Vec<Team> {
         let worn = self.teams.iter().filter(|(_, team)| team.attempts > ATTEMPTS / 2);
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -60,10 +60,12 @@
     }
     let started = |share: &Owner| share.machines[&MachineId::from("m-1")].attempts.len();
     io.begin(0.1, 0);
-    share.schedule(&io, &view, &Catalog::default());
+    let mut usage = share.usage(&view, io.wall_ms);
+    share.schedule(io.now, &mut usage, &Catalog::default());
     assert_eq!(started(&share), 2, "both replicas of one image, none of the other");
     io.begin(60.0, 0);
-    share.schedule(&io, &view, &Catalog::default());
+    let mut usage = share.usage(&view, io.wall_ms);
+    share.schedule(io.now, &mut usage, &Catalog::default());
     assert_eq!(started(&share), 4, "not for ever");
 }
 
--- a/src/core/part_map.rs
+++ b/src/core/part_map.rs
@@ -17,6 +17,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct MapChunk {
     pub shares: Vec<Share>,
+    /// Beside teams: since which term every owner has kept to its grants ([`super::team_grants`]).
+    /// A leader that does not know this field leaves it out, and so nobody relies on it.
+    #[serde(rename = "q", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub grants_kept_since: BTreeMap<Team, Term>,
 }
 
 /// What one process owns under one term, as far as one chunk tells.
@@ -58,16 +62,20 @@
 pub struct Owners {
     pub teams: BTreeMap<Team, Owner>,
     pub machines: BTreeMap<MachineId, Owner>,
+    pub grants_kept_since: BTreeMap<Team, Term>,
 }
 
 impl Owners {
     pub fn read<'a>(chunks: impl Iterator<Item = &'a MapChunk>) -> Self {
         let mut owners = Self::default();
-        for share in chunks.flat_map(|chunk| &chunk.shares) {
-            let teams = share.teams.iter().map(|team| (team.clone(), share.owner.clone()));
-            owners.teams.extend(teams);
-            let machines = share.machines.iter().map(|id| (id.clone(), share.owner.clone()));
-            owners.machines.extend(machines);
+        for chunk in chunks {
+            owners.grants_kept_since.extend(chunk.grants_kept_since.clone());
+            for share in &chunk.shares {
+                let teams = share.teams.iter().map(|team| (team.clone(), share.owner.clone()));
+                owners.teams.extend(teams);
+                let machines = share.machines.iter().map(|id| (id.clone(), share.owner.clone()));
+                owners.machines.extend(machines);
+            }
         }
         owners
     }
@@ -89,7 +97,8 @@
     format!("{MAP_PREFIX}m{chunk:04}")
 }
 
-fn teams_key() -> String {
+/// Where the owners of teams are stored.
+pub fn teams_key() -> String {
     format!("{MAP_PREFIX}teams")
 }
 
@@ -138,6 +147,23 @@
         self.teams_dirty = true;
     }
 
+    /// Since which term every owner of a team has kept to its grants; None if that is not known.
+    pub fn set_grants_kept_since(&mut self, team: &Team, since: Option<Term>) {
+        let known = &mut self.owners.grants_kept_since;
+        let before = match since {
+            Some(since) => known.insert(team.clone(), since),
+            None => known.remove(team),
+        };
+        self.teams_dirty |= before != since;
+    }
+
+    /// A team goes to `owner`: notes whether grants have been kept to all the time.
+    pub fn carry_grants(&mut self, team: &Team, owner: &Owner, keeps_grants: bool) {
+        let before = self.owners.grants_kept_since.get(team).copied();
+        let since = keeps_grants.then(|| before.unwrap_or(owner.term));
+        self.set_grants_kept_since(team, since);
+    }
+
     pub fn set_machine(&mut self, id: &MachineId, owner: Owner) {
         let chunk = match self.chunk_of.get(id) {
             Some(chunk) => *chunk,
@@ -168,10 +194,14 @@
         let mut size = 0;
         if std::mem::take(&mut self.teams_dirty) {
             let mut shares: BTreeMap<&Owner, Share> = BTreeMap::new();
+            let grants_kept_since = self.owners.grants_kept_since.clone();
             for (team, owner) in &self.owners.teams {
                 share(&mut shares, owner).teams.push(team.clone());
             }
-            values.push((teams_key(), MapChunk { shares: shares.into_values().collect() }));
+            values.push((
+                teams_key(),
+                MapChunk { shares: shares.into_values().collect(), grants_kept_since },
+            ));
         }
         while values.len() < limit
             && size < bytes
@@ -206,7 +236,8 @@
                 share(&mut shares, owner).machines.push(id.clone());
             }
         }
-        (chunk_key(chunk), MapChunk { shares: shares.into_values().collect() })
+        let shares = shares.into_values().collect();
+        (chunk_key(chunk), MapChunk { shares, ..MapChunk::default() })
     }
 }
 
--- a/src/core/quota.rs
+++ b/src/core/quota.rs
@@ -2,9 +2,12 @@
 
 use super::cancelled::Since;
 use super::owner::Owner;
+use super::placement::Resources;
+use super::team_grants::{Basis, limit_of};
 use super::view::View;
 use crate::config::TeamLimits;
 use crate::ids::{JobId, Team};
+use quota_ledger::Amount;
 use std::collections::{BTreeMap, BTreeSet};
 
 const EPSILON: f64 = 1e-6;
@@ -12,19 +15,61 @@
 /// once more for clocks that differ and for transactions that are carried out late.
 const CANCELLED_COUNTS: f64 = 2.0;
 
+/// CPUs and GPUs together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Units {
+    cpus: f64,
+    gpus: f64,
+}
+
+impl Units {
+    fn add(&mut self, other: Self) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+    }
+
+    fn times(self, count: usize) -> Self {
+        Self { cpus: self.cpus * count as f64, gpus: self.gpus * count as f64 }
+    }
+
+    fn amount(self) -> Amount {
+        Amount::covering(self.cpus, self.gpus)
+    }
+}
+
+/// What one team may be using.
+#[derive(Clone, Debug, Default)]
+struct TeamUsage {
+    /// All of it.
+    all: Units,
+    /// The part that was started here since the team was gained.
+    own: Units,
+    /// What was started here may not pass this.
+    ceiling: Option<Amount>,
+    /// What waits beyond the ceiling though the limit allows it, and the first of that.
+    lacking: Units,
+    first_lacking: Units,
+}
+
 /// What each team may be using at this moment.
 #[derive(Debug, Default)]
 pub struct Usage {
-    used: BTreeMap<Team, (f64, f64)>,
+    teams: BTreeMap<Team, TeamUsage>,
     /// Of these it is not known what they use: those with limits start nothing.
     closed: BTreeSet<Team>,
 }
 
 impl Usage {
+    /// More that was started here.
     pub fn add(&mut self, team: &Team, cpus: f64, gpus: f64) {
-        let used = self.used.entry(team.clone()).or_default();
-        used.0 += cpus;
-        used.1 += gpus;
+        let used = self.teams.entry(team.clone()).or_default();
+        used.all.add(Units { cpus, gpus });
+        used.own.add(Units { cpus, gpus });
+    }
+
+    /// More that a former owner of the team may have started.
+    fn add_inherited(&mut self, team: &Team, cpus: f64, gpus: f64) {
+        self.teams.entry(team.clone()).or_default().all.add(Units { cpus, gpus });
     }
 
     pub fn close(&mut self, team: &Team) {
@@ -33,20 +78,121 @@
 
     #[cfg(test)]
     pub fn gpus(&self, team: &Team) -> f64 {
-        self.of(team).1
+        self.of(team).gpus
     }
 
-    fn of(&self, team: &Team) -> (f64, f64) {
-        self.used.get(team).copied().unwrap_or_default()
+    fn of(&self, team: &Team) -> Units {
+        self.teams.get(team).map(|used| used.all).unwrap_or_default()
     }
 
-    /// Whether the team may use this much more without passing its limit.
+    /// The same without regard to grants.
+    pub fn without_grants(mut self) -> Self {
+        self.teams.values_mut().for_each(|used| used.ceiling = None);
+        self
+    }
+
+    /// Whether the team may use this much more without passing its limit and our grant.
     pub fn allows(&self, limits: &TeamLimits, cpus: f64, gpus: f64) -> bool {
+        let more = Units { cpus, gpus };
+        self.limit_allows(limits, more) && self.grant_allows(limits, more)
+    }
+
+    fn limit_allows(&self, limits: &TeamLimits, more: Units) -> bool {
         let used = self.of(&limits.name);
         let limited = limits.cpus_max > 0.0 || limits.gpus_max > 0.0;
         !(limited && self.closed.contains(&limits.name))
-            && within(used.0 + cpus, limits.cpus_max)
-            && within(used.1 + gpus, limits.gpus_max)
+            && within(used.cpus + more.cpus, limits.cpus_max)
+            && within(used.gpus + more.gpus, limits.gpus_max)
+    }
+
+    fn grant_allows(&self, limits: &TeamLimits, more: Units) -> bool {
+        let Some(used) = self.teams.get(&limits.name) else { return true };
+        let Some(ceiling) = used.ceiling else { return true };
+        let own = used.own.amount().plus(&more.amount());
+        ceiling.covers(&limit_of(limits).limited(&own))
+    }
+
+    /// How many of `most` tasks fit into the team's limit.
+    pub fn room_in_limit(&self, limits: &TeamLimits, need: &Resources, most: usize) -> usize {
+        let need = Units { cpus: need.cpus, gpus: need.gpus };
+        fitting(most, |count| self.limit_allows(limits, need.times(count)))
+    }
+
+    /// How many of `most` tasks that would be started now our grant covers: all or none of them if
+    /// they are to be `whole`. Notes what it holds back.
+    pub fn room_in_grant(
+        &mut self,
+        limits: &TeamLimits,
+        need: &Resources,
+        most: usize,
+        whole: bool,
+    ) -> usize {
+        let need = Units { cpus: need.cpus, gpus: need.gpus };
+        let covered = fitting(most, |count| self.grant_allows(limits, need.times(count)));
+        if covered == most {
+            return most;
+        }
+        let room = if whole { 0 } else { covered };
+        let used = self.teams.entry(limits.name.clone()).or_default();
+        if used.lacking == Units::default() {
+            used.first_lacking = need.times(if whole { most } else { 1 });
+        }
+        used.lacking.add(need.times(most - room));
+        room
+    }
+
+    /// Whether it is known what the team uses.
+    pub fn is_known(&self, team: &Team) -> bool {
+        !self.closed.contains(team)
+    }
+
+    /// What our grant of a team covers, and what those of former owners do.
+    pub fn under_grants(&self, team: &Team) -> (Amount, Amount) {
+        let Some(used) = self.teams.get(team) else { return Default::default() };
+        let own = used.own.amount();
+        (own, used.all.amount().less(&own))
+    }
+
+    /// What waits for a larger grant only, and the first of that.
+    pub fn lacking(&self, team: &Team) -> (Amount, Amount) {
+        let Some(used) = self.teams.get(team) else { return Default::default() };
+        (used.lacking.amount(), used.first_lacking.amount())
+    }
+
+    /// Counts a team by its grants: what former owners started is at most what was granted to them,
+    /// and once nothing is granted to them any more, all that runs is ours.
+    fn count_by_grants(&mut self, limits: &TeamLimits, basis: Basis) {
+        let limit = limit_of(limits);
+        let closed = self.closed.contains(&limits.name);
+        let used = self.teams.entry(limits.name.clone()).or_default();
+        match basis {
+            Basis::Undecided => self.close(&limits.name),
+            Basis::Counting { beginning } => {
+                used.ceiling = beginning;
+                used.own = used.all;
+            }
+            Basis::Granted { own, outstanding } if outstanding.is_zero() => {
+                used.ceiling = Some(own);
+                used.own = used.all;
+            }
+            Basis::Granted { own, outstanding } => {
+                used.ceiling = Some(own);
+                let (cpus, gpus) = outstanding.units();
+                let bound = |counted: f64, granted: f64, is_limited: bool| match is_limited {
+                    true if closed => granted,
+                    true => counted.min(granted),
+                    false => counted,
+                };
+                let limited = limit.amount();
+                let inherited = Units {
+                    cpus: bound(used.all.cpus - used.own.cpus, cpus, limited.cpu_thousandths > 0),
+                    gpus: bound(used.all.gpus - used.own.gpus, gpus, limited.gpu_thousandths > 0),
+                };
+                used.all = used.own;
+                used.all.add(inherited);
+                self.closed.remove(&limits.name);
+            }
+        }
     }
 
     /// Whether the team, with this much more, stays inside what it is guaranteed.
@@ -55,8 +201,8 @@
         let inside = |used: f64, guarantee: f64| guarantee > 0.0 && used <= guarantee + EPSILON;
         let named = limits.cpus > 0.0 || limits.gpus > 0.0;
         named
-            && (limits.cpus == 0.0 || inside(used.0 + cpus, limits.cpus))
-            && (limits.gpus == 0.0 || inside(used.1 + gpus, limits.gpus))
+            && (limits.cpus == 0.0 || inside(used.cpus + cpus, limits.cpus))
+            && (limits.gpus == 0.0 || inside(used.gpus + gpus, limits.gpus))
     }
 }
 
@@ -67,16 +213,25 @@
         self.add_held(&mut usage);
         self.add_unsettled(&mut usage);
         self.add_cancelled(view, wall_ms, &mut usage);
+        for limits in &self.config.deployment.teams {
+            let grant = self.teams.get(&limits.name).and_then(|team| team.grant.as_ref());
+            if let Some(grant) = grant {
+                usage.count_by_grants(limits, grant.basis());
+            }
+        }
         usage
     }
 
     fn add_held(&self, usage: &mut Usage) {
         // Whether there is a task that is over, of a record that doesn't say whose it was.
         let mut stray = false;
-        let tracked = self.machines.values().flat_map(|machine| machine.attempts.values());
-        for tracked in tracked.filter(|tracked| !tracked.exited()) {
+        let attempts = self.machines.values().flat_map(|machine| &machine.attempts);
+        for ((_, attempt), tracked) in attempts.filter(|(_, tracked)| !tracked.exited()) {
             match (&tracked.room, &tracked.team) {
-                (Some(room), Some(team)) => usage.add(team, room.cpus, room.gpus),
+                (Some(room), Some(team)) if self.started_here(team, *attempt) => {
+                    usage.add(team, room.cpus, room.gpus);
+                }
+                (Some(room), Some(team)) => usage.add_inherited(team, room.cpus, room.gpus),
                 (_, None) => stray |= tracked.forget,
                 (None, Some(_)) => {}
             }
@@ -89,7 +244,7 @@
     fn add_unsettled(&self, usage: &mut Usage) {
         for job in self.jobs.values().filter(|job| job.unsettled() > 0) {
             let tasks = f64::from(job.unsettled());
-            usage.add(&job.spec.team, job.spec.cpus * tasks, job.spec.gpus * tasks);
+            usage.add_inherited(&job.spec.team, job.spec.cpus * tasks, job.spec.gpus * tasks);
         }
     }
 
@@ -112,7 +267,7 @@
             for (id, leaving) in view.cancelled_since(since).filter(|(_, l)| l.team == *name) {
                 let known = tracked.get(id).map_or(0, BTreeSet::len) as u32;
                 let tasks = f64::from(leaving.tasks.saturating_sub(known));
-                usage.add(name, leaving.need.cpus * tasks, leaving.need.gpus * tasks);
+                usage.add_inherited(name, leaving.need.cpus * tasks, leaving.need.gpus * tasks);
             }
         }
     }
@@ -130,6 +285,11 @@
     }
 }
 
+/// The largest count up to `most` that is allowed, as are all below it.
+fn fitting(most: usize, allowed: impl Fn(usize) -> bool) -> usize {
+    (1..=most).take_while(|count| allowed(*count)).count()
+}
+
 /// 0 means no limit.
 pub fn within(used: f64, limit: f64) -> bool {
     limit == 0.0 || used <= limit + EPSILON
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -2,14 +2,12 @@
 
 use super::Time;
 use super::catalog::Catalog;
-use super::io::Io;
 use super::jobs::Job;
 use super::machines::Machine;
 use super::owner::Owner;
 use super::placement::{Candidate, Late, Resources, best_fit};
 use super::preemption;
 use super::quota::Usage;
-use super::view::View;
 use crate::config::{Config, TeamLimits};
 use crate::ids::{Image, JobId, MachineId, TypeName, Zone};
 use crate::wire::{JobSpec, Kind, Priority};
@@ -39,6 +37,15 @@
         let others = self.warm.iter().filter(|(other, _)| Some(other) != image);
         others.fold(self.free, |free, (_, room)| free.less(room))
     }
+
+    /// A task takes room, and what was held back for its image.
+    fn take(&mut self, need: &Resources, image: &Image) {
+        self.free = self.free.less(need);
+        self.later = self.later.less(need);
+        if let Some(warm) = self.warm.iter().position(|(held_for, _)| held_for == image) {
+            self.warm.remove(warm);
+        }
+    }
 }
 
 /// Starts issued in one round at most; the next follows at once.
@@ -152,78 +159,14 @@
         job.waiting().iter().copied().filter(ready).take(most).collect()
     }
 
-    pub(super) fn schedule(&mut self, io: &Io, view: &View, catalog: &Catalog) {
-        let now = io.now;
+    /// Starts what waits and finds room; `usage` goes on counting.
+    pub(super) fn schedule(&mut self, now: Time, usage: &mut Usage, catalog: &Catalog) {
         let mut slots = self.slots(now);
         self.hold_warm(&mut slots, catalog, now);
         let expecting = self.expects_machines(now);
-        let mut usage = self.usage(view, io.wall_ms);
         let mut starts = 0;
-        for id in self.queue(&usage, now) {
-            let Some(job) = self.jobs.get(&id) else { continue };
-            let Some(limits) = limits(&self.config, &job.spec).cloned() else { continue };
-            let need = job.need();
-            let spec = job.spec.clone();
-            let waiting = self.startable(job, now);
-            let whole = job.is_gang();
-            if waiting.is_empty() || (whole && waiting.len() as u32 != job.spec.tasks) {
-                continue;
-            }
-            let room = (1..=waiting.len())
-                .take_while(|n| {
-                    let n = *n as f64;
-                    usage.allows(&limits, need.cpus * n, need.gpus * n)
-                })
-                .count();
-            if room == 0 || (whole && room < waiting.len()) {
-                continue;
-            }
-            let wanted = &waiting[..room];
-            // Warm room is for whom it is held, unless nothing else will do, or something that ran
-            // is down: that is missed now, what the room is held for only perhaps later.
-            let mut chosen = self.choose(job, wanted.len(), &slots, now, whole, !job.began);
-            let fills_up = job.is_opportunistic(&self.config);
-            if chosen.len() < wanted.len() && !fills_up {
-                chosen = self.choose(job, wanted.len(), &slots, now, whole, false);
-            }
-            let probed = job.failures.fails_everywhere();
-            let missing = if probed { 0 } else { wanted.len() - chosen.len() };
-            if expecting {
-                // Machines that are about to report take what would queue for another's fetch here.
-                chosen.retain(|slot| !self.queues_up(&slots[*slot].id, &spec, now));
-                if whole && chosen.len() < wanted.len() {
-                    chosen.clear();
-                }
-            }
-            let mut starting: Vec<(u32, usize)> =
-                wanted.iter().copied().zip(chosen.iter().copied()).collect();
-            self.hold_back_second_attempts(&id, &mut starting);
-            if whole && starting.len() < chosen.len() {
-                continue;
-            }
-            if !starting.is_empty() {
-                let Some(attempt) = self.next_attempt(&limits.name) else { continue };
-                for (index, slot) in &starting {
-                    let slot = &mut slots[*slot];
-                    slot.free = slot.free.less(&need);
-                    slot.later = slot.later.less(&need);
-                    let warm = slot.warm.iter().position(|(image, _)| *image == spec.image);
-                    if let Some(warm) = warm {
-                        slot.warm.remove(warm);
-                    }
-                    usage.add(&limits.name, need.cpus, need.gpus);
-                    let machine = slot.id.clone();
-                    self.start(&id, *index, &machine, attempt, now);
-                }
-                starts += starting.len();
-            }
-            if missing > 0 {
-                let stops = preemption::make_room(self, &id, missing, &mut slots, &usage, now);
-                for stop in stops {
-                    self.stop(&stop.machine, &stop.task, stop.attempt, stop.grace);
-                }
-                self.reserve(&id, missing, &mut slots);
-            }
+        for id in self.queue(usage, now) {
+            starts += self.schedule_job(&id, &mut slots, usage, expecting, now);
             if starts >= STARTS_PER_ROUND {
                 self.changed = true;
                 return;
@@ -231,6 +174,74 @@
         }
     }
 
+    /// Starts what it can of one job, and makes room for the rest; how many tasks it started.
+    fn schedule_job(
+        &mut self,
+        id: &JobId,
+        slots: &mut [Slot],
+        usage: &mut Usage,
+        expecting: bool,
+        now: Time,
+    ) -> usize {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let Some(limits) = limits(&self.config, &job.spec).cloned() else { return 0 };
+        let need = job.need();
+        let spec = job.spec.clone();
+        let waiting = self.startable(job, now);
+        let whole = job.is_gang();
+        if waiting.is_empty() || (whole && waiting.len() as u32 != job.spec.tasks) {
+            return 0;
+        }
+        let room = usage.room_in_limit(&limits, &need, waiting.len());
+        if room == 0 || (whole && room < waiting.len()) {
+            return 0;
+        }
+        let wanted = &waiting[..room];
+        // Warm room is for whom it is held, unless nothing else will do, or something that ran
+        // is down: that is missed now, what the room is held for only perhaps later.
+        let mut chosen = self.choose(job, wanted.len(), slots, now, whole, !job.began);
+        let fills_up = job.is_opportunistic(&self.config);
+        if chosen.len() < wanted.len() && !fills_up {
+            chosen = self.choose(job, wanted.len(), slots, now, whole, false);
+        }
+        let probed = job.failures.fails_everywhere();
+        let missing = if probed { 0 } else { wanted.len() - chosen.len() };
+        if expecting {
+            // Machines that are about to report take what would queue for another's fetch here.
+            chosen.retain(|slot| !self.queues_up(&slots[*slot].id, &spec, now));
+            if whole && chosen.len() < wanted.len() {
+                chosen.clear();
+            }
+        }
+        let mut starting: Vec<(u32, usize)> =
+            wanted.iter().copied().zip(chosen.iter().copied()).collect();
+        self.hold_back_second_attempts(id, &mut starting);
+        if whole && starting.len() < chosen.len() {
+            return 0;
+        }
+        for (_, slot) in &starting {
+            slots[*slot].take(&need, &spec.image);
+        }
+        // What only the grant holds back keeps the room it found until the grant is larger.
+        starting.truncate(usage.room_in_grant(&limits, &need, starting.len(), whole));
+        if !starting.is_empty() {
+            let Some(attempt) = self.next_attempt(&limits.name) else { return 0 };
+            for (index, slot) in &starting {
+                usage.add(&limits.name, need.cpus, need.gpus);
+                let machine = slots[*slot].id.clone();
+                self.start(id, *index, &machine, attempt, now);
+            }
+        }
+        if missing > 0 {
+            let stops = preemption::make_room(self, id, missing, slots, usage, now);
+            for stop in stops {
+                self.stop(&stop.machine, &stop.task, stop.attempt, stop.grace);
+            }
+            self.reserve(id, missing, slots);
+        }
+        starting.len()
+    }
+
     /// The last guard against a task that runs twice: a task is not started while an attempt of it may
     /// be on some machine. Such a task should not be waiting at all, so this is logged and counted.
     fn hold_back_second_attempts(&mut self, id: &JobId, starting: &mut Vec<(u32, usize)>) {
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -141,7 +141,8 @@
         let types = catalog.types();
         let refused = self.refused.clone();
         let mut plan = Plan::new(types, &refused, self.bins(now));
-        let mut usage = self.usage(view, io.wall_ms);
+        // What is needed does not depend on how much of the limit is granted yet.
+        let mut usage = self.usage(view, io.wall_ms).without_grants();
         let Demand { pressing, opportunistic } = self.demand(types, &mut usage, now);
         for wanted in pressing {
             plan.serve(wanted, need);
--- /dev/null
+++ b/src/core/team_grants.rs
@@ -0,0 +1,299 @@
+//! The owner of a limited team starts its tasks under a grant ([`quota_ledger`]).
+//!
+//! The record of grants tells a team's new owner how much its predecessors may have started at most,
+//! so that it can use the rest of the limit at once instead of counting everything that they might
+//! have started. It relies on a record only if every owner since the record was begun has kept to
+//! its grants; the map says since when that is so. Every write of an owner is guarded by the version
+//! of the map's teams as well, so who has lost a team can't enlarge its grant any more.
+
+use super::Time;
+use super::io::{Io, Pending};
+use super::leader::Leader;
+use super::owner::Owner;
+use super::part_map::{Owner as MapOwner, teams_key};
+use super::quota::Usage;
+use super::view::{View, guard, put, quota_key};
+use super::{StateCall, StateReply};
+use crate::config::{Config, TeamLimits};
+use crate::ids::{Node, Team, Term, Version};
+use crate::wire::{Transaction, Write};
+use quota_ledger::{Amount, Demand, Ended, Holder, HolderId, Limit, Outcome, Proposal};
+use std::collections::BTreeSet;
+
+/// Seconds before another try, when a write failed.
+const FAILURE_PAUSE: Time = 0.1;
+
+/// Whether grants of team limits are switched on here.
+pub fn are_on(config: &Config) -> bool {
+    config.features.headroom(config.deployment.workers.lease_s).is_some()
+}
+
+/// A team's limit as the ledger counts it.
+pub fn limit_of(limits: &TeamLimits) -> Limit {
+    Limit::new(limits.cpus_max, limits.gpus_max)
+}
+
+/// A write of a team's record of grants.
+#[derive(Debug)]
+pub struct GrantWrite {
+    team: Team,
+    term: Term,
+    /// None if it removes the record, or gives the grant back as the team goes.
+    proposed: bool,
+    write: Write,
+}
+
+/// What an owner goes by when it starts tasks of a team.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Basis {
+    /// It has not read yet what there is: it starts nothing.
+    Undecided,
+    /// Everything that anybody may have started counts. If a record is being begun, no more may run
+    /// than it covers.
+    Counting { beginning: Option<Amount> },
+    /// Its own starts count against its grant, those of others up to what is granted to them.
+    Granted { own: Amount, outstanding: Amount },
+}
+
+/// An owner's part in the record of one of its teams.
+pub struct TeamGrant {
+    holder: Holder,
+    /// Since when owners have kept to their grants, as far as was ever known here: once under a
+    /// grant, a process stays under it for as long as it owns the team.
+    since: Option<Term>,
+    /// The state service refuses the record for good, so the team does without.
+    refused: bool,
+    seen: Option<Version>,
+    write_after: Time,
+    basis: Basis,
+}
+
+impl TeamGrant {
+    fn new(config: &Config, limits: &TeamLimits, incarnation: u64, term: Term) -> Option<Self> {
+        let headroom = config.features.headroom(config.deployment.workers.lease_s)?;
+        let limit = limit_of(limits);
+        quota_key(&limits.name).filter(|_| limit.is_limited())?;
+        let node = config.node.to_string();
+        let id = HolderId { term: term.0, incarnation, node };
+        Some(Self {
+            holder: Holder::new(id, limit, headroom),
+            since: None,
+            refused: false,
+            seen: None,
+            write_after: Time::NEG_INFINITY,
+            basis: Basis::Undecided,
+        })
+    }
+
+    /// What the owner goes by at present.
+    pub fn basis(&self) -> Basis {
+        self.basis
+    }
+
+    /// Takes up what the view shows of the record. `gained`: the revision at which the team was
+    /// gained; before the view is that far, a record may be there that it does not show.
+    fn follow(&mut self, view: &View, team: &Team, gained: Version) {
+        let since = view.grants_kept_since(team).or(self.since);
+        let stored = view.ledger(team);
+        let version = stored.map_or(0, |stored| stored.version);
+        if self.seen != Some(version) || since != self.since {
+            self.since = since;
+            self.seen = Some(version);
+            let ledger = stored.and_then(|stored| stored.ledger.as_ref());
+            let relied_on = ledger.filter(|l| since.is_some_and(|since| l.began() >= since.0));
+            self.holder.observe(version, relied_on.cloned());
+        }
+        self.basis = if view.revision() < gained {
+            Basis::Undecided
+        } else if self.holder.ledger().is_some() {
+            let (own, outstanding) = (self.holder.grant(), self.holder.outstanding());
+            Basis::Granted { own, outstanding }
+        } else {
+            Basis::Counting { beginning: self.holder.beginning() }
+        };
+    }
+
+    /// What is to be written next.
+    fn next_write(&mut self, now: Time, demand: &Demand) -> Option<Proposal> {
+        let may_begin = self.since.is_some() || self.holder.ledger().is_some();
+        if self.basis == Basis::Undecided || self.refused || !may_begin || now < self.write_after {
+            return None;
+        }
+        self.holder.propose(now, demand)
+    }
+}
+
+impl Owner {
+    /// A team is ours: its grant, if it has a limit and grants are on.
+    pub(super) fn new_team_grant(&self, team: &Team, term: Term) -> Option<TeamGrant> {
+        let limits = self.config.deployment.teams.iter().find(|limits| limits.name == *team)?;
+        TeamGrant::new(&self.config, limits, self.incarnation, term)
+    }
+
+    /// Takes up what the view shows of the records of all our teams.
+    pub(super) fn follow_grants(&mut self, view: &View) {
+        for (name, team) in &mut self.teams {
+            let gained = team.gained;
+            if let Some(grant) = &mut team.grant {
+                let before = grant.basis;
+                grant.follow(view, name, gained);
+                self.changed |= grant.basis != before;
+            }
+        }
+    }
+
+    /// Asks for what the teams need beyond their grants, or gives back what they don't.
+    pub(super) fn write_grants(&mut self, io: &mut Io, view: &View, usage: &Usage) {
+        let names: Vec<Team> = self.teams.keys().cloned().collect();
+        for name in names {
+            if !io.may_write() || !self.record_rate.has_token(io.now) {
+                return;
+            }
+            let Some(team) = self.teams.get_mut(&name) else { continue };
+            let settled = team.unsettled.is_empty() && usage.is_known(&name);
+            let Some(grant) = &mut team.grant else { continue };
+            let (used, inherited) = usage.under_grants(&name);
+            let (waiting, next) = usage.lacking(&name);
+            let ended = if settled { Ended::AllOthers } else { Ended::Nobody };
+            let demand = Demand { used, waiting, next, ended, inherited };
+            if grant.refused {
+                if let Some(version) = view.ledger(&name).map(|stored| stored.version) {
+                    self.remove_record(io, view, &name, version);
+                }
+                continue;
+            }
+            let Some(proposal) = grant.next_write(io.now, &demand) else { continue };
+            self.write_record(io, view, &name, &proposal, true);
+        }
+    }
+
+    /// Teams go to other controllers: what may still run of our tasks stays granted.
+    pub(super) fn release_grants(&mut self, io: &mut Io, view: &View, lost: &[Team]) {
+        if lost.is_empty() {
+            return;
+        }
+        let usage = self.usage(view, io.wall_ms);
+        for name in lost.iter().filter(|name| usage.is_known(name)) {
+            let Some(grant) = self.teams.get(name).and_then(|team| team.grant.as_ref()) else {
+                continue;
+            };
+            let (used, _) = usage.under_grants(name);
+            let released = match grant.basis {
+                Basis::Granted { .. } => grant.holder.release(used),
+                Basis::Undecided | Basis::Counting { .. } => None,
+            };
+            if let Some(released) = released.filter(|_| io.may_write()) {
+                self.write_record(io, view, name, &released, false);
+            }
+        }
+    }
+
+    /// `proposed`: as the owner, and so only while the map names this process.
+    fn write_record(
+        &mut self,
+        io: &mut Io,
+        view: &View,
+        name: &Team,
+        proposal: &Proposal,
+        proposed: bool,
+    ) {
+        let (Some(key), Some(team)) = (quota_key(name), self.teams.get(name)) else { return };
+        let write = put(&key, &proposal.ledger, None);
+        let mut guards = vec![guard(&key, proposal.guard)];
+        if proposed {
+            guards.push(guard(&teams_key(), teams_version(view)));
+        }
+        let pending = GrantWrite { team: name.clone(), term: team.term(), proposed, write };
+        let transaction = Transaction { guards, writes: vec![pending.write.clone()] };
+        self.record_rate.take(io.now);
+        io.state(Pending::Grant(pending), StateCall::Commit(transaction));
+    }
+
+    /// Without a record nobody relies on it.
+    fn remove_record(&mut self, io: &mut Io, view: &View, name: &Team, version: Version) {
+        let (Some(key), Some(team)) = (quota_key(name), self.teams.get_mut(name)) else { return };
+        let term = team.term();
+        let Some(grant) = team.grant.as_mut().filter(|grant| io.now >= grant.write_after) else {
+            return;
+        };
+        grant.write_after = io.now + io.jitter(FAILURE_PAUSE * 10.0);
+        let guards = vec![guard(&key, version), guard(&teams_key(), teams_version(view))];
+        let write = Write::Delete { key };
+        let pending = GrantWrite { team: name.clone(), term, proposed: false, write };
+        let transaction = Transaction { guards, writes: vec![pending.write.clone()] };
+        self.record_rate.take(io.now);
+        io.state(Pending::Grant(pending), StateCall::Commit(transaction));
+    }
+
+    /// The answer to a write of a record.
+    pub(super) fn grant_written(
+        &mut self,
+        io: &mut Io,
+        view: &mut View,
+        written: GrantWrite,
+        reply: StateReply,
+    ) {
+        if let StateReply::Committed(version) = reply {
+            view.apply_write(&written.write, version);
+        } else {
+            view.want_sync();
+        }
+        self.changed = true;
+        let team = self.teams.get_mut(&written.team).filter(|team| team.term() == written.term);
+        let Some(grant) = team.and_then(|team| team.grant.as_mut()) else { return };
+        if !written.proposed {
+            return;
+        }
+        grant.holder.answered(match reply {
+            StateReply::Committed(version) => Outcome::Committed(version),
+            StateReply::Unknown => Outcome::Unknown,
+            _ => Outcome::NotExecuted,
+        });
+        match reply {
+            StateReply::Committed(_) => {}
+            StateReply::Rejected => {
+                let bytes = written.write.bytes();
+                let team = &written.team;
+                tracing::error!("the state service refuses {bytes} bytes of grants of team {team}");
+                grant.refused = true;
+            }
+            _ => grant.write_after = io.now + io.jitter(FAILURE_PAUSE),
+        }
+    }
+}
+
+fn teams_version(view: &View) -> Version {
+    view.map().get(&teams_key()).map_or(0, |chunk| chunk.version)
+}
+
+impl Leader {
+    /// Which living processes keep to grants: all of them, or it does not count.
+    pub(super) fn note_grant_keepers(&mut self, view: &View) {
+        let records = view.nodes().values().map(|node| &node.record);
+        let all = records.clone().all(|record| record.keeps_grants);
+        let keepers =
+            records.filter(|_| all).map(|record| (record.node.clone(), record.incarnation));
+        self.grant_keepers = keepers.collect::<BTreeSet<(Node, u64)>>();
+    }
+
+    /// Teams whose owners keep to grants, of which that is not noted: from the owner's own term on.
+    pub(super) fn note_grants(&mut self) {
+        let unnoted = self.map.owners.teams.iter().filter(|(team, owner)| {
+            !self.map.owners.grants_kept_since.contains_key(*team) && self.keeps_grants(owner)
+        });
+        let unnoted: Vec<(Team, Term)> =
+            unnoted.map(|(team, owner)| (team.clone(), owner.term)).collect();
+        for (team, term) in unnoted {
+            self.map.set_grants_kept_since(&team, Some(term));
+        }
+    }
+
+    /// Whether the process that owns something keeps to grants, as all others do.
+    pub(super) fn keeps_grants(&self, owner: &MapOwner) -> bool {
+        let process = (owner.node.clone(), owner.incarnation);
+        are_on(&self.config) && self.grant_keepers.contains(&process)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/team_grants/tests.rs
@@ -0,0 +1,243 @@
+use super::super::owner::Owner as Controller;
+use super::super::part_map::{MapChunk, Owner as MapOwner, PartMap, Share};
+use super::super::test_support::{owner, share_with};
+use super::super::unresponsive::UnresponsiveMachines;
+use super::super::{CallId, Effect, StateCall};
+use super::*;
+use crate::config::Config;
+use crate::features::Features;
+use quota_ledger::TeamLedger;
+use std::collections::BTreeMap;
+
+const RED: &str = "red";
+
+fn config() -> Config {
+    let limited = r#"teams = [{ name = "red", gpus = 4.0, gpus_max = 16.0 }]"#;
+    let text = crate::config::TEST_SETTINGS.replace(r#"teams = [{ name = "red" }]"#, limited);
+    let mut config = Config::parse(&text).unwrap();
+    config.features = Features::parse(include_str!("../../../deploy/features.toml")).unwrap();
+    config
+}
+
+/// A controller that has just gained the team under `term`, of which owners have kept to their grants
+/// since `since`.
+struct Scene {
+    share: Controller,
+    io: Io,
+    view: View,
+    version: Version,
+}
+
+impl Scene {
+    fn new(term: u64, since: Option<u64>, stored: Option<serde_json::Value>) -> Self {
+        let (share, io, view) = share_with(config());
+        let mut scene = Self { share, io, view, version: 10 };
+        if let Some(value) = stored {
+            scene.store(&value);
+        }
+        scene.give("n0", term, since);
+        scene
+    }
+
+    fn store(&mut self, value: &serde_json::Value) {
+        self.version += 1;
+        let write = Write::Put { key: key(), value: value.clone(), lease: None };
+        self.view.apply_write(&write, self.version);
+    }
+
+    /// The map gives the team to this process of `node`.
+    fn give(&mut self, node: &str, term: u64, since: Option<u64>) {
+        self.version += 1;
+        let owner = MapOwner { term: Term(term), ..owner(node) };
+        let shares = vec![Share { owner, teams: vec![RED.into()], machines: vec!["m-1".into()] }];
+        let grants_kept_since = since.map(|since| (Team::from(RED), Term(since)));
+        let chunk = MapChunk { shares, grants_kept_since: grants_kept_since.into_iter().collect() };
+        self.view.apply_write(&put(&teams_key(), &chunk, None), self.version);
+        let unresponsive = UnresponsiveMachines::default();
+        self.share.follow_map(&mut self.io, &self.view, &unresponsive);
+        self.share.follow_grants(&self.view);
+    }
+
+    /// The view is as far as the map.
+    fn synced(&mut self) {
+        self.view.read_up_to(self.version);
+        self.share.follow_grants(&self.view);
+    }
+
+    fn settle(&mut self) {
+        self.share.teams.get_mut(&Team::from(RED)).unwrap().unsettled.clear();
+    }
+
+    fn basis(&self) -> Basis {
+        self.share.teams[&Team::from(RED)].grant.as_ref().unwrap().basis()
+    }
+
+    fn usage(&self) -> Usage {
+        self.share.usage(&self.view, 0)
+    }
+
+    fn allows(&self, gpus: f64) -> bool {
+        let config = config();
+        self.usage().allows(&config.deployment.teams[0], 0.0, gpus)
+    }
+
+    /// What is written to the state service now.
+    fn written(&mut self) -> Option<(CallId, Transaction)> {
+        let usage = self.usage();
+        self.share.write_grants(&mut self.io, &self.view, &usage);
+        self.effects()
+    }
+
+    fn effects(&mut self) -> Option<(CallId, Transaction)> {
+        self.io.take_effects().into_iter().find_map(|effect| match effect {
+            Effect::State(call, StateCall::Commit(transaction)) => Some((call, transaction)),
+            _ => None,
+        })
+    }
+
+    fn answer(&mut self, call: CallId, reply: StateReply) {
+        let Some(Pending::Grant(written)) = self.io.finish(call) else { panic!("a grant") };
+        if let StateReply::Committed(version) = reply {
+            self.version = version;
+        }
+        self.share.grant_written(&mut self.io, &mut self.view, written, reply);
+        self.share.follow_grants(&self.view);
+    }
+}
+
+fn key() -> String {
+    quota_key(&RED.into()).unwrap()
+}
+
+/// A record that was begun under `began`, in which another process holds this much.
+fn held_by_other(began: u64, gpus: f64) -> serde_json::Value {
+    let holder = HolderId { term: began, incarnation: 7, node: "n1".into() };
+    serde_json::to_value(TeamLedger::begin(&holder, Amount::covering(0.0, gpus))).unwrap()
+}
+
+#[test]
+fn a_new_owner_uses_what_is_not_granted_to_others() {
+    let mut scene = Scene::new(9, Some(5), Some(held_by_other(5, 10.0)));
+    assert_eq!(scene.basis(), Basis::Undecided);
+    assert!(!scene.allows(1.0), "there may be a record that it has not read");
+    scene.synced();
+    assert!(!scene.allows(1.0), "it has no grant yet");
+    let (call, transaction) = scene.written().unwrap();
+    let guarded: Vec<&str> = transaction.guards.iter().map(|guard| guard.key.as_str()).collect();
+    assert_eq!(guarded, [key().as_str(), teams_key().as_str()], "fenced by the map");
+    scene.answer(call, StateReply::Committed(30));
+    assert!(scene.allows(2.0), "its headroom, an eighth of the limit");
+    assert!(!scene.allows(7.0), "10 of 16 are granted to another");
+}
+
+#[test]
+fn a_record_is_relied_on_only_if_all_owners_since_have_kept_to_it() {
+    for (since, relied_on) in [(Some(5), true), (Some(6), false), (None, false)] {
+        let mut scene = Scene::new(9, since, Some(held_by_other(5, 10.0)));
+        scene.synced();
+        let counting = Basis::Counting { beginning: None };
+        assert_eq!(scene.basis() != counting, relied_on, "{since:?}");
+    }
+}
+
+#[test]
+fn a_damaged_record_is_no_record_and_is_replaced_once_all_is_known() {
+    for damaged in [
+        serde_json::json!({"v": 9, "b": 5, "g": []}),
+        serde_json::json!("grants"),
+        serde_json::json!({"v": 1, "b": 5, "g": [{"h": {"t": 1, "i": 1, "n": ""}, "a": {}}]}),
+        serde_json::json!({"v": 1, "b": 5, "g": [], "f": {"g": u64::MAX}}),
+    ] {
+        let mut scene = Scene::new(9, Some(5), Some(damaged));
+        scene.synced();
+        assert_eq!(scene.basis(), Basis::Counting { beginning: None });
+        assert!(scene.allows(16.0), "as without a record");
+        assert!(scene.written().is_none(), "what runs is not known yet");
+        scene.settle();
+        let (_, transaction) = scene.written().unwrap();
+        assert_eq!(transaction.guards[0].version, 11, "in place of the damaged one");
+    }
+}
+
+#[test]
+fn while_a_record_is_being_begun_no_more_starts_than_it_covers() {
+    let mut scene = Scene::new(9, Some(9), None);
+    scene.synced();
+    scene.settle();
+    let (call, _) = scene.written().unwrap();
+    scene.answer(call, StateReply::Unknown);
+    assert_eq!(scene.basis(), Basis::Counting { beginning: Some(Amount::covering(0.0, 2.0)) });
+    assert!(scene.allows(2.0) && !scene.allows(3.0));
+    // It was carried out all the same, and others rely on it.
+    let ledger = TeamLedger::begin(
+        &HolderId { term: 9, incarnation: 1, node: "n0".into() },
+        Amount::covering(0.0, 2.0),
+    );
+    scene.store(&serde_json::to_value(ledger).unwrap());
+    scene.synced();
+    assert!(scene.allows(2.0) && !scene.allows(3.0));
+}
+
+#[test]
+fn who_loses_the_team_keeps_granted_only_what_may_still_run() {
+    let mut scene = Scene::new(9, Some(9), None);
+    scene.synced();
+    scene.settle();
+    let (call, _) = scene.written().unwrap();
+    scene.answer(call, StateReply::Committed(30));
+    scene.give("n1", 12, Some(9));
+    let (_, transaction) = scene.effects().unwrap();
+    assert_eq!(transaction.guards.len(), 1, "it owns the team no more, and gives back only");
+    let Write::Put { value, .. } = &transaction.writes[0] else { panic!("a record") };
+    let ledger = TeamLedger::decode(value).unwrap();
+    assert!(ledger.grants().is_empty(), "nothing of it runs: {ledger:?}");
+}
+
+#[test]
+fn a_record_that_the_state_service_refuses_is_done_without() {
+    let mut scene = Scene::new(9, Some(5), Some(held_by_other(5, 10.0)));
+    scene.synced();
+    let (call, _) = scene.written().unwrap();
+    scene.answer(call, StateReply::Rejected);
+    assert!(!scene.allows(1.0), "others may rely on the record as long as it is there");
+    let (call, transaction) = scene.written().unwrap();
+    assert!(matches!(&transaction.writes[..], [Write::Delete { .. }]), "{transaction:?}");
+    scene.answer(call, StateReply::Committed(40));
+    assert_eq!(scene.basis(), Basis::Counting { beginning: None });
+    scene.settle();
+    assert!(scene.written().is_none(), "it is not begun again");
+}
+
+/// What the leader notes in the map for a team that goes to `keepers` and others, one after the other.
+fn noted(owners: &[(&str, bool)]) -> Vec<Option<u64>> {
+    let mut map = PartMap::new(1, &BTreeMap::new(), 4.0);
+    let team = Team::from(RED);
+    let mut noted = Vec::new();
+    for (index, (node, keeps)) in owners.iter().enumerate() {
+        let owner = MapOwner { term: Term(index as u64 + 1), ..owner(node) };
+        map.carry_grants(&team, &owner, *keeps);
+        map.set_team(&team, owner);
+        noted.push(map.owners.grants_kept_since.get(&team).map(|term| term.0));
+    }
+    noted
+}
+
+#[test]
+fn one_owner_that_keeps_to_no_grants_breaks_the_chain() {
+    assert_eq!(noted(&[("n0", true), ("n1", true), ("n0", true)]), [Some(1), Some(1), Some(1)]);
+    assert_eq!(noted(&[("n0", true), ("n1", false), ("n0", true)]), [Some(1), None, Some(3)]);
+}
+
+/// A leader of a version without grants writes the teams without the note.
+#[test]
+fn a_leader_that_knows_no_grants_leaves_the_note_out() {
+    let chunk = MapChunk {
+        shares: vec![Share { owner: owner("n0"), teams: vec![RED.into()], machines: vec![] }],
+        grants_kept_since: [(Team::from(RED), Term(3))].into(),
+    };
+    let mut stored = serde_json::to_value(&chunk).unwrap();
+    assert_eq!(stored["q"], serde_json::json!({ RED: 3 }));
+    stored.as_object_mut().unwrap().remove("q");
+    let read: MapChunk = serde_json::from_value(stored).unwrap();
+    assert!(read.grants_kept_since.is_empty());
+}
--- a/src/core/tracking/tests.rs
+++ b/src/core/tracking/tests.rs
@@ -141,7 +141,8 @@
             machine.total = Resources { cpus: 9.0, gpus: 9.0, memory_gb: 9.0 };
             machine.fetch_rate = 1.0;
         }
-        self.share.schedule(&self.io, &self.view, &catalog);
+        let mut usage = self.share.usage(&self.view, self.io.wall_ms);
+        self.share.schedule(self.io.now, &mut usage, &catalog);
         self.share.machines.values().map(|m| m.attempts.len()).sum::<usize>() - before
     }
 }
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -11,8 +11,9 @@
 use super::ranges::Ranges;
 use super::{Core, StateCall, StateReply, Time};
 use crate::config::Config;
-use crate::ids::{JobId, Node, Team, Version};
+use crate::ids::{JobId, Node, Team, Term, Version};
 use crate::wire::{Change, Guard, JobSpec, JobStatus, MachineTypes, Write};
+use quota_ledger::TeamLedger;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +27,9 @@
 const NODE_PREFIX: &str = "ochredrum/node/";
 pub const MAP_PREFIX: &str = "ochredrum/map/";
 const JOB_PREFIX: &str = "ochredrum/job/";
+const QUOTA_PREFIX: &str = "ochredrum/quota/";
+/// Bytes of a key at most.
+const LONGEST_KEY: usize = 200;
 
 pub fn node_key(node: &Node) -> String {
     format!("{NODE_PREFIX}{node}")
@@ -35,6 +39,13 @@
     format!("{JOB_PREFIX}{job}")
 }
 
+/// Where a team's grants are stored; None if its name can't be part of a key.
+pub fn quota_key(team: &Team) -> Option<String> {
+    let key = format!("{QUOTA_PREFIX}{team}");
+    let valid = key.len() <= LONGEST_KEY && !key.contains(char::is_whitespace);
+    valid.then_some(key)
+}
+
 /// A job as known.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(from = "StoredJob", into = "StoredJob")]
@@ -152,6 +163,17 @@
     pub node: Node,
     pub incarnation: u64,
     pub lease: u64,
+    /// It starts nothing of a limited team beyond its grant, once its team has a record of grants.
+    #[serde(rename = "quota", default, skip_serializing_if = "std::ops::Not::not")]
+    pub keeps_grants: bool,
+}
+
+/// A team's record of grants as it is stored.
+#[derive(Clone, Debug)]
+pub struct StoredLedger {
+    pub version: Version,
+    /// None if what is stored is no valid record.
+    pub ledger: Option<TeamLedger>,
 }
 
 #[derive(Clone, Debug)]
@@ -166,6 +188,7 @@
     types: Option<Versioned<MachineTypes>>,
     nodes: BTreeMap<Node, Versioned<ProcessRecord>>,
     map: BTreeMap<String, Versioned<MapChunk>>,
+    ledgers: BTreeMap<Team, StoredLedger>,
     owners: Owners,
     /// Rises with every change of the map.
     map_changes: u64,
@@ -212,6 +235,7 @@
             types: None,
             nodes: BTreeMap::new(),
             map: BTreeMap::new(),
+            ledgers: BTreeMap::new(),
             owners: Owners::default(),
             map_changes: 0,
             changed: BTreeSet::new(),
@@ -279,6 +303,16 @@
         &self.owners
     }
 
+    /// A team's record of grants.
+    pub fn ledger(&self, team: &Team) -> Option<&StoredLedger> {
+        self.ledgers.get(team)
+    }
+
+    /// Since which term every owner of a team has kept to its grants, if that is known.
+    pub fn grants_kept_since(&self, team: &Team) -> Option<Term> {
+        self.owners.grants_kept_since.get(team).copied()
+    }
+
     /// A revision at which everybody has seen the map as it is here. One of our own writes to it
     /// may be newer than the last sync.
     pub fn map_revision(&self) -> Version {
@@ -319,6 +353,12 @@
         self.wanted = true;
     }
 
+    /// A sync has shown everything up to this revision.
+    #[cfg(test)]
+    pub fn read_up_to(&mut self, revision: Version) {
+        self.revision = revision;
+    }
+
     /// Takes up one committed write of our own without waiting for a sync.
     pub fn apply_write(&mut self, write: &Write, version: Version) {
         match write {
@@ -368,7 +408,20 @@
                 self.map.insert(key.to_owned(), chunk);
             }
             self.map_changed();
+        } else if let Some(team) = key.strip_prefix(QUOTA_PREFIX) {
+            self.put_ledger(Team::from(team), value, version);
+        }
+    }
+
+    fn put_ledger(&mut self, team: Team, value: &Value, version: Version) {
+        if self.ledgers.get(&team).is_some_and(|known| known.version >= version) {
+            return;
         }
+        // Logged once for each stored value; the team falls back to what holds without a record.
+        let ledger = TeamLedger::decode(value)
+            .inspect_err(|error| tracing::error!("grants of team {team}: {error}"))
+            .ok();
+        self.ledgers.insert(team, StoredLedger { version, ledger });
     }
 
     fn put_job(&mut self, id: JobId, record: JobRecord, version: Version) {
@@ -484,6 +537,10 @@
                 self.map.remove(key);
                 self.map_changed();
             }
+        } else if let Some(team) = key.strip_prefix(QUOTA_PREFIX).map(Team::from) {
+            if self.ledgers.get(&team).is_some_and(|known| known.version <= version) {
+                self.ledgers.remove(&team);
+            }
         } else {
             return;
         }
@@ -500,6 +557,7 @@
         let mut gone: Vec<String> = self.map.keys().cloned().collect();
         gone.push(LEADER_KEY.to_owned());
         gone.extend(self.nodes.keys().map(node_key));
+        gone.extend(self.ledgers.keys().filter_map(quota_key));
         gone.retain(|key| !listed.contains(key));
         for key in gone {
             self.remove(&key, revision);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cloud_client;
 pub mod config;
 pub mod core;
+pub mod features;
 pub mod front;
 pub mod http;
 pub mod ids;
--- a/tests/script/mod.rs
+++ b/tests/script/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! A scenario is a text file of lines: `seed N`, `controllers N`, `limits VALUE_KB TXN_OPS`,
 //! `next_limits VALUE_KB TXN_OPS RPS WRITE_RPS` (told in the settings, in force from `at T limits_fall`),
+//! `grants` (team limits are held by grants in the state service),
 //! `old` (all controllers begin with the version before), `machines N`, `spot N`, `at T WHAT …`,
 //! `until T`. `at T expect JOB running` makes sure that troubles meet; `at T next_orders MACHINE FATE …`
 //! says what happens to the next direct messages to a machine.
@@ -244,6 +245,7 @@
                     write_rps: number(words.get(4)),
                 });
             }
+            "grants" => world.grants = true,
             "old" => world.old = (0..controllers).collect(),
             "machines" => world.add_machines(number(words.get(1)) as usize, false),
             "spot" => world.add_machines(number(words.get(1)) as usize, true),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -66,6 +66,8 @@
     pub next_limits: Option<Limits>,
     /// Requests and changes that the state service takes at this moment.
     allowance: Allowance,
+    /// Controllers keep to grants of team limits.
+    pub grants: bool,
     /// Controllers of the version before; they come back so until they are upgraded.
     pub old: BTreeSet<usize>,
     /// Since when no trouble is on.
@@ -123,6 +125,7 @@
             limits: Limits { value_kb: 4.0, txn_ops: 8, rps: 120.0, write_rps: 25.0 },
             next_limits: None,
             allowance: Allowance::default(),
+            grants: false,
             old: BTreeSet::new(),
             calm_since: 0.0,
             crashed: 0.0,
--- a/tests/world/settings.rs
+++ b/tests/world/settings.rs
@@ -1,5 +1,7 @@
 //! The settings that the controllers are given.
 
+use ochredrum::features::Features;
+
 use super::{CANCEL_S, GANG_PEER_S, GANG_WAIT_S, GPUS_MAX, LEASE_S, REPORT_S};
 
 /// What the state service takes in one value, in one transaction and in a second.
@@ -21,6 +23,14 @@
     }
 }
 
+/// Grants of team limits as the shipped file has them.
+pub fn grants_on() -> Features {
+    let Ok(features) = Features::parse(include_str!("../../deploy/features.toml")) else {
+        panic!("the shipped features")
+    };
+    features
+}
+
 /// `next`: the limits that will hold later, if this version is told of them.
 pub fn settings(index: usize, nodes: usize, limits: Limits, next: Option<Limits>) -> String {
     let state = limits.settings("deployment.state");
