ochredrum status: who may use how much of a team's limit; five real controllers at one limit

Need: operators can't see who holds a limit and why a team's work waits; the limit had been shown to hold in virtual time only.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,10 @@
 
 use crate::config::Config;
 use crate::features::Features;
+use crate::operator;
+use crate::status::Status;
 use clap::{Parser, Subcommand};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::filter::LevelFilter;
@@ -26,16 +29,40 @@
     CheckConfig { file: PathBuf },
     /// Check a features file and end.
     CheckFeatures { file: PathBuf },
+    /// Ask a running controller who may use how much of the teams' limits.
+    Status {
+        /// The controller's `mesh_addr`.
+        #[arg(long, value_name = "IP:PORT")]
+        address: SocketAddr,
+        /// Print what it answers as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Print the JSON schema of what a file may hold or what an answer holds.
+    Schema { of: SchemaOf },
+}
+
+/// What has a published schema.
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum SchemaOf {
+    /// The features file.
+    Features,
+    /// The answer of `status --json`.
+    Status,
 }
 
 /// What a wrong call or wrong settings end with.
 const USAGE: u8 = 2;
+/// What a question that got no answer ends with.
+const NO_ANSWER: u8 = 3;
 
 pub fn main() -> ExitCode {
     let args = Args::parse();
     match (args.command, args.config) {
         (Some(Command::CheckConfig { file }), _) => checked(&file, Config::load(&file)),
         (Some(Command::CheckFeatures { file }), _) => checked(&file, Features::load(&file)),
+        (Some(Command::Status { address, json }), _) => status(address, json),
+        (Some(Command::Schema { of }), _) => print_schema(of),
         (None, Some(file)) => run(&file, args.features.as_deref()),
         (None, None) => fail(&"--config FILE is needed (see --help)"),
     }
@@ -52,6 +79,38 @@
     }
 }
 
+fn status(address: SocketAddr, json: bool) -> ExitCode {
+    let status = match operator::status(address) {
+        Ok(status) => status,
+        Err(e) => {
+            eprintln!("ochredrum: {e}");
+            return ExitCode::from(NO_ANSWER);
+        }
+    };
+    if json {
+        return print_json(&status);
+    }
+    print!("{}", status.table());
+    ExitCode::SUCCESS
+}
+
+fn print_schema(of: SchemaOf) -> ExitCode {
+    print_json(&match of {
+        SchemaOf::Features => schemars::schema_for!(Features),
+        SchemaOf::Status => schemars::schema_for!(Status),
+    })
+}
+
+fn print_json(value: &impl serde::Serialize) -> ExitCode {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(&e),
+    }
+}
+
 fn run(file: &Path, features: Option<&Path>) -> ExitCode {
     init_log();
     let mut config = match Config::load(file) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -33,6 +33,7 @@
 pub mod resumption;
 pub mod schedule;
 pub mod starts_in_flight;
+pub mod status;
 pub mod supply;
 pub mod task_index;
 pub mod team_grants;
@@ -47,6 +48,7 @@
 
 use crate::config::Config;
 use crate::ids::{JobId, Node, Team, Version};
+use crate::status::Status;
 use crate::wire::{
     Changes, DirectOrders, JobSpec, Listing, MachineList, MachineNames, MachineTypes, Rental,
     Report, ReportAnswer, Transaction,
@@ -95,6 +97,8 @@
     User(RequestId, UserRequest),
     Report(RequestId, Report),
     Health(RequestId),
+    /// An operator asks.
+    Status(RequestId),
     Mesh(RequestId, MeshMessage),
     State(CallId, StateReply),
     Cloud(CallId, CloudReply),
@@ -106,7 +110,11 @@
     /// Whether somebody else asks; all else is the reply to a call of this process.
     pub fn is_question(&self) -> bool {
         match self {
-            Self::User(..) | Self::Report(..) | Self::Health(_) | Self::Mesh(..) => true,
+            Self::User(..)
+            | Self::Report(..)
+            | Self::Health(_)
+            | Self::Status(_)
+            | Self::Mesh(..) => true,
             Self::State(..) | Self::Cloud(..) | Self::Worker(..) | Self::MeshReply(..) => false,
         }
     }
@@ -135,6 +143,7 @@
     Empty,
     Value(Value),
     Orders(ReportAnswer),
+    Status(Box<Status>),
 }
 
 impl Answer {
@@ -297,6 +306,7 @@
         match input {
             Input::User(request, what) => self.user_request(request, what),
             Input::Health(request) => self.health(request),
+            Input::Status(request) => self.answer_status(request),
             Input::Report(request, report) => self.report(request, report),
             Input::Mesh(request, message) => self.mesh_message(request, message),
             Input::State(call, reply) => {
--- /dev/null
+++ b/src/core/status.rs
@@ -0,0 +1,96 @@
+//! What this controller tells operators ([`crate::status`]).
+
+use super::team_grants::{Basis, TeamGrant, are_on};
+use super::view::StoredLedger;
+use super::{Answer, Body, Core, RequestId};
+use crate::config::TeamLimits;
+use crate::ids::Term;
+use crate::status::{
+    BasisStatus, Capacity, GrantStatus, OwnedTeamStatus, RecordState, Status, TeamStatus,
+};
+use quota_ledger::Amount;
+
+impl Core {
+    /// An operator asks.
+    pub(super) fn answer_status(&mut self, request: RequestId) {
+        let body = Body::Status(Box::new(self.status()));
+        self.io.answer(request, Answer { status: 200, body, retry_after: None });
+    }
+
+    fn status(&self) -> Status {
+        let now = self.io.now;
+        let entitled = self.authority.entitled(now);
+        Status {
+            controller: self.config.node.to_string(),
+            incarnation: self.authority.incarnation(),
+            leads: self.leads(now),
+            entitled,
+            grants_on: are_on(&self.config),
+            teams: self.config.deployment.teams.iter().map(|t| self.team_status(t)).collect(),
+        }
+    }
+
+    fn team_status(&self, limits: &TeamLimits) -> TeamStatus {
+        let since = self.view.grants_kept_since(&limits.name);
+        let stored = self.view.ledger(&limits.name);
+        let ledger = stored.and_then(|stored| stored.ledger.as_ref());
+        let owner = self.view.owners().teams.get(&limits.name);
+        let grants = ledger.map_or(&[][..], |ledger| ledger.grants());
+        let grants = grants.iter().map(|grant| GrantStatus {
+            controller: grant.holder.node.clone(),
+            incarnation: grant.holder.incarnation,
+            term: grant.holder.term,
+            granted: capacity(&grant.amount),
+            current: owner.is_some_and(|owner| owner.term.0 == grant.holder.term),
+        });
+        TeamStatus {
+            team: limits.name.to_string(),
+            limit: Capacity { cpus: limits.cpus_max, gpus: limits.gpus_max },
+            guarantee: Capacity { cpus: limits.cpus, gpus: limits.gpus },
+            owner: owner.map(|owner| owner.node.to_string()),
+            grants_kept_since: since.map(|term| term.0),
+            record: record_state(stored, since),
+            grants: grants.collect(),
+            folded: ledger.map(|ledger| capacity(&ledger.folded())).unwrap_or_default(),
+            owned: self.owned_team_status(limits),
+        }
+    }
+
+    fn owned_team_status(&self, limits: &TeamLimits) -> Option<OwnedTeamStatus> {
+        let owner = self.owner.as_ref()?;
+        let team = owner.teams.get(&limits.name)?;
+        let usage = owner.usage(&self.view, self.io.wall_ms);
+        let (own, inherited) = usage.under_grants(&limits.name);
+        Some(OwnedTeamStatus {
+            basis: basis(team.grant.as_ref()),
+            used: capacity(&own.plus(&inherited)),
+            inherited: capacity(&inherited),
+            unknown_machines: team.unsettled.len(),
+        })
+    }
+}
+
+fn capacity(amount: &Amount) -> Capacity {
+    let (cpus, gpus) = amount.units();
+    Capacity { cpus, gpus }
+}
+
+fn record_state(stored: Option<&StoredLedger>, since: Option<Term>) -> RecordState {
+    match stored.map(|stored| stored.ledger.as_ref()) {
+        None => RecordState::None,
+        Some(None) => RecordState::Damaged,
+        Some(Some(ledger)) if since.is_some_and(|since| ledger.began() >= since.0) => {
+            RecordState::ReliedOn
+        }
+        Some(Some(_)) => RecordState::NotReliedOn,
+    }
+}
+
+fn basis(grant: Option<&TeamGrant>) -> BasisStatus {
+    match grant.map(TeamGrant::basis) {
+        None | Some(Basis::Counting { beginning: None }) => BasisStatus::Counting,
+        Some(Basis::Counting { beginning: Some(_) }) => BasisStatus::Beginning,
+        Some(Basis::Undecided) => BasisStatus::Undecided,
+        Some(Basis::Granted { .. }) => BasisStatus::Granted,
+    }
+}
--- a/src/core/user_requests.rs
+++ b/src/core/user_requests.rs
@@ -293,7 +293,7 @@
             ReplyTo::Sibling(request) => {
                 let body = match answer.body {
                     Body::Value(body) => Some(body),
-                    Body::Empty | Body::Orders(_) => None,
+                    Body::Empty | Body::Orders(_) | Body::Status(_) => None,
                 };
                 let Answer { status, retry_after, .. } = answer;
                 self.io.mesh_answer(request, MeshReply::Answer { status, body, retry_after });
--- a/src/front.rs
+++ b/src/front.rs
@@ -96,6 +96,7 @@
         Body::Empty => encode(&serde_json::json!({})),
         Body::Value(value) => encode(value),
         Body::Orders(orders) => encode(orders),
+        Body::Status(status) => encode(status),
     };
     let mut reply = http::reply(answer.status, body, MESSAGE_PACK);
     if let Some(seconds) = answer.retry_after {
--- a/src/inbox.rs
+++ b/src/inbox.rs
@@ -33,6 +33,8 @@
     Report(Box<Report>),
     /// A health check.
     Health,
+    /// An operator's question.
+    Status,
 }
 
 impl Question {
@@ -40,7 +42,7 @@
     fn admitted_up_to(&self) -> f64 {
         match self {
             Self::User(_) => USERS_UP_TO,
-            Self::Report(_) | Self::Health => REPORTS_UP_TO,
+            Self::Report(_) | Self::Health | Self::Status => REPORTS_UP_TO,
         }
     }
 }
@@ -87,6 +89,7 @@
             Question::User(what) => Input::User(request, what),
             Question::Report(report) => Input::Report(request, *report),
             Question::Health => Input::Health(request),
+            Question::Status => Input::Status(request),
         };
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(request, sender);
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -1,8 +1,11 @@
-//! Messages between controllers: CBOR over HTTP on the mesh listener.
+//! The listener between controllers: their messages (CBOR over HTTP), and operators' questions (JSON).
 
+use crate::core::Body;
 use crate::core::peers::{MeshMessage, MeshReply};
 use crate::http::{self, Client, Reply};
-use crate::inbox::Inbox;
+use crate::inbox::{Inbox, Question};
+use crate::operator::JSON;
+use crate::status;
 use hyper::body::Incoming;
 use hyper::{Method, Request};
 use std::rc::Rc;
@@ -25,6 +28,9 @@
 }
 
 pub async fn handle(inbox: Rc<Inbox>, request: Request<Incoming>, read: Duration) -> Reply {
+    if request.uri().path() == status::PATH {
+        return answer_status(&inbox, request.method()).await;
+    }
     if request.uri().path() != PATH {
         return http::reply(404, Vec::new(), CBOR);
     }
@@ -48,3 +54,18 @@
         None => http::reply(503, Vec::new(), CBOR),
     }
 }
+
+/// An operator's question, read-only.
+async fn answer_status(inbox: &Inbox, method: &Method) -> Reply {
+    if method != Method::GET {
+        return http::reply(405, Vec::new(), JSON);
+    }
+    let answer = inbox.ask(Question::Status).await;
+    let Body::Status(status) = answer.body else {
+        return http::reply(answer.status, Vec::new(), JSON);
+    };
+    match serde_json::to_vec(&*status) {
+        Ok(body) => http::reply(200, body, JSON),
+        Err(_) => http::reply(500, Vec::new(), JSON),
+    }
+}
--- /dev/null
+++ b/src/status.rs
@@ -0,0 +1,213 @@
+//! What a controller tells operators of team limits: read-only, JSON on the listener between
+//! controllers, and a table on the command line.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::fmt::Write;
+
+/// Where it is served.
+pub const PATH: &str = "/status/v1";
+
+/// What one controller knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Status {
+    /// The controller that answers.
+    pub controller: String,
+    /// Its process.
+    pub incarnation: u64,
+    /// Whether it leads.
+    pub leads: bool,
+    /// Whether it may act for its share at this moment.
+    pub entitled: bool,
+    /// Whether it keeps to grants of team limits.
+    pub grants_on: bool,
+    /// All teams of the settings.
+    pub teams: Vec<TeamStatus>,
+}
+
+/// CPUs and GPUs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Capacity {
+    /// Number of CPUs.
+    pub cpus: f64,
+    /// Number of GPUs.
+    pub gpus: f64,
+}
+
+/// One team.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct TeamStatus {
+    /// Its name.
+    pub team: String,
+    /// What its tasks may use at most; 0 means no limit.
+    pub limit: Capacity,
+    /// What it is guaranteed; 0 means nothing.
+    pub guarantee: Capacity,
+    /// The controller that owns it, as the map says.
+    pub owner: Option<String>,
+    /// Since which term every owner has kept to grants, if that is known.
+    pub grants_kept_since: Option<u64>,
+    /// The record of grants.
+    pub record: RecordState,
+    /// Who may use how much of the limit.
+    pub grants: Vec<GrantStatus>,
+    /// Granted to former holders that are no longer named.
+    pub folded: Capacity,
+    /// What only the owner knows.
+    pub owned: Option<OwnedTeamStatus>,
+}
+
+/// Whether there is a record of grants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum RecordState {
+    /// There is none.
+    None,
+    /// There is one, and the owner goes by it.
+    ReliedOn,
+    /// There is one that was begun before all owners kept to grants.
+    NotReliedOn,
+    /// What is stored is no valid record.
+    Damaged,
+}
+
+/// What one holder may use.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct GrantStatus {
+    /// The controller.
+    pub controller: String,
+    /// Its process.
+    pub incarnation: u64,
+    /// The term under which it owned the team.
+    pub term: u64,
+    /// How much.
+    pub granted: Capacity,
+    /// Whether it owns the team at present; if not, what is granted is what may still run of its
+    /// tasks.
+    pub current: bool,
+}
+
+/// What the owner of a team knows of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct OwnedTeamStatus {
+    /// What it goes by when it starts tasks.
+    pub basis: BasisStatus,
+    /// All that may be running of the team.
+    pub used: Capacity,
+    /// The part of that which former owners may have started.
+    pub inherited: Capacity,
+    /// Machines that have not told yet what they run of the team.
+    pub unknown_machines: usize,
+}
+
+/// What an owner goes by when it starts tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum BasisStatus {
+    /// The team has no limit, or grants are off: everything that may run counts.
+    Counting,
+    /// A record of grants is being begun.
+    Beginning,
+    /// It has not read yet whether there is a record, and starts nothing.
+    Undecided,
+    /// Its grant.
+    Granted,
+}
+
+impl Status {
+    /// The table that the command line prints.
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{} (process {}){}{}{}\n\n",
+            self.controller,
+            self.incarnation,
+            if self.leads { ", leads" } else { "" },
+            if self.entitled { "" } else { ", may not act now" },
+            if self.grants_on { "" } else { ", keeps to no grants" },
+        );
+        let header = [
+            "TEAM",
+            "OWNER",
+            "LIMIT",
+            "GUARANTEE",
+            "GRANTED",
+            "OTHERS",
+            "USED",
+            "UNKNOWN",
+            "STATE",
+        ];
+        let rows: Vec<[String; 9]> = self.teams.iter().map(TeamStatus::row).collect();
+        let width = |column: usize| {
+            let cells = rows.iter().map(|row| row[column].chars().count());
+            cells.chain([header[column].len()]).max().unwrap_or(0)
+        };
+        let widths: Vec<usize> = (0..header.len()).map(width).collect();
+        let mut line = |cells: &[&str]| {
+            for (cell, width) in cells.iter().zip(&widths) {
+                // Writing to a string can't fail.
+                write!(text, "{cell:<width$}  ").ok();
+            }
+            text.truncate(text.trim_end().len());
+            text.push('\n');
+        };
+        line(&header);
+        for row in &rows {
+            line(&row.each_ref().map(String::as_str));
+        }
+        text
+    }
+}
+
+impl TeamStatus {
+    fn row(&self) -> [String; 9] {
+        let sum = |current: bool| {
+            let grants = self.grants.iter().filter(|grant| grant.current == current);
+            let granted = grants.map(|grant| grant.granted);
+            granted.fold(Capacity::default(), Capacity::plus)
+        };
+        let owned = self.owned.as_ref();
+        [
+            self.team.clone(),
+            self.owner.clone().unwrap_or_else(|| "-".into()),
+            self.limit.text(),
+            self.guarantee.text(),
+            sum(true).text(),
+            sum(false).plus(self.folded).text(),
+            owned.map_or_else(|| "?".into(), |owned| owned.used.text()),
+            owned.map_or_else(|| "?".into(), |owned| owned.unknown_machines.to_string()),
+            self.state().into(),
+        ]
+    }
+
+    fn state(&self) -> &'static str {
+        match (self.record, self.owned.as_ref().map(|owned| owned.basis)) {
+            (RecordState::Damaged, _) => "damaged record",
+            (_, Some(BasisStatus::Undecided)) => "reading",
+            (_, Some(BasisStatus::Beginning)) => "beginning",
+            (RecordState::NotReliedOn, _) => "record not relied on",
+            (RecordState::None, _) => "no record",
+            (RecordState::ReliedOn, _) if self.grants.iter().all(|grant| grant.current) => {
+                "granted"
+            }
+            (RecordState::ReliedOn, _) => "taking over",
+        }
+    }
+}
+
+impl Capacity {
+    fn plus(self, other: Self) -> Self {
+        Self { cpus: self.cpus + other.cpus, gpus: self.gpus + other.gpus }
+    }
+
+    fn text(self) -> String {
+        match (self.cpus > 0.0, self.gpus > 0.0) {
+            (false, false) => "-".into(),
+            (true, false) => format!("{} CPU", self.cpus),
+            (false, true) => format!("{} GPU", self.gpus),
+            (true, true) => format!("{} CPU {} GPU", self.cpus, self.gpus),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/tests/loopback/fleet.rs
@@ -0,0 +1,257 @@
+//! Workers that follow the controllers, end their tasks by themselves, keep to their leases, and keep one
+//! history of what truly ran.
+
+use super::{BOUNDS, listen};
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use ochredrum::front::MESSAGE_PACK;
+use ochredrum::http::{Client, Reply, read_body, reply, serve};
+use ochredrum::ids::{Attempt, Term};
+use ochredrum::wire::{
+    BODY_LIMIT, DirectOrders, Exit, Order, Report, ReportAnswer, ReportedTask, TaskState, decode,
+    encode,
+};
+use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+
+const REPORT_EVERY: Duration = Duration::from_millis(500);
+const TURN: Duration = Duration::from_millis(50);
+/// How long tasks run, one after the other.
+const RUNS: [Duration; 4] = [
+    Duration::from_millis(300),
+    Duration::from_millis(900),
+    Duration::from_millis(1700),
+    Duration::from_millis(3100),
+];
+
+/// What truly ran, as the workers have it.
+#[derive(Debug, Default)]
+pub struct History {
+    pub running: BTreeMap<String, usize>,
+    pub starts: usize,
+    pub most_at_once: usize,
+    /// Moments at which more ran than the limit allows.
+    pub overshoots: usize,
+    /// Starts of a task that ran on another machine.
+    pub ran_twice: usize,
+    pub limit: usize,
+}
+
+impl History {
+    fn started(&mut self, task: &str) {
+        self.starts += 1;
+        let copies = self.running.entry(task.to_owned()).or_default();
+        *copies += 1;
+        self.ran_twice += usize::from(*copies > 1);
+        let running = self.running.values().sum();
+        self.most_at_once = self.most_at_once.max(running);
+        self.overshoots += usize::from(running > self.limit);
+    }
+
+    fn ended(&mut self, task: &str) {
+        let left = self.running.get_mut(task).map_or(0, |copies| {
+            *copies -= 1;
+            *copies
+        });
+        if left == 0 {
+            self.running.remove(task);
+        }
+    }
+}
+
+struct Task {
+    state: TaskState,
+    ends: Instant,
+    why: Option<Exit>,
+}
+
+struct Machine {
+    name: String,
+    address: SocketAddr,
+    session: u64,
+    sequence: u64,
+    token: Term,
+    answered: Instant,
+    lease: Duration,
+    tasks: BTreeMap<(String, Attempt), Task>,
+    history: Rc<RefCell<History>>,
+}
+
+impl Machine {
+    fn report(&mut self) -> Report {
+        self.sequence += 1;
+        let tasks = self.tasks.iter().map(|((task, attempt), running)| ReportedTask {
+            task: task.clone(),
+            attempt: *attempt,
+            state: running.state,
+            why: running.why,
+            saved: None,
+        });
+        Report {
+            machine: self.name.as_str().into(),
+            address: self.address.to_string(),
+            type_name: "g8".into(),
+            zone: "a".into(),
+            spot: false,
+            session: self.session,
+            seq: self.sequence,
+            token: self.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn execute(&mut self, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => self.start(task, attempt),
+                Order::Stop { task, attempt, .. } => self.exit(&(task, attempt), Exit::Stopped),
+                Order::Forget { task, attempt } => {
+                    self.tasks.remove(&(task, attempt));
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, task: String, attempt: Attempt) {
+        let key = (task, attempt);
+        if self.tasks.contains_key(&key) {
+            return;
+        }
+        let mut history = self.history.borrow_mut();
+        history.started(&key.0);
+        let run = RUNS[history.starts % RUNS.len()];
+        let task = Task { state: TaskState::Running, ends: Instant::now() + run, why: None };
+        self.tasks.insert(key, task);
+    }
+
+    fn exit(&mut self, key: &(String, Attempt), why: Exit) {
+        let Some(task) = self.tasks.get_mut(key).filter(|t| t.state == TaskState::Running) else {
+            return;
+        };
+        task.state = TaskState::Exited;
+        task.why = Some(why);
+        self.history.borrow_mut().ended(&key.0);
+    }
+
+    /// Tasks end by themselves, or with the machine's lease.
+    fn pass_time(&mut self) {
+        let now = Instant::now();
+        let over: Vec<(String, Attempt)> =
+            self.tasks.iter().filter(|(_, t)| now >= t.ends).map(|(key, _)| key.clone()).collect();
+        over.iter().for_each(|key| self.exit(key, Exit::Done));
+        if now > self.answered + self.lease {
+            let all: Vec<(String, Attempt)> = self.tasks.keys().cloned().collect();
+            all.iter().for_each(|key| self.exit(key, Exit::Stopped));
+            self.tasks.clear();
+            self.session += 1;
+            self.answered = now;
+        }
+    }
+}
+
+/// Starts workers that report to the controllers at `fronts`, and says how the cloud lists them.
+pub async fn start_fleet(
+    machines: usize,
+    fronts: &[(String, SocketAddr)],
+    lease: Duration,
+    limit: usize,
+) -> (Rc<RefCell<History>>, Vec<Value>) {
+    let history = Rc::new(RefCell::new(History { limit, ..History::default() }));
+    let mut listed = Vec::new();
+    for number in 1..=machines {
+        let (listener, address) = listen().await;
+        let machine = Rc::new(RefCell::new(Machine {
+            name: format!("m-{number:06}"),
+            address,
+            session: 1,
+            sequence: 0,
+            token: Term(0),
+            answered: Instant::now(),
+            lease,
+            tasks: BTreeMap::new(),
+            history: history.clone(),
+        }));
+        listed.push(serde_json::json!({"nameId": format!("m-{number:06}"), "address":
+            address.to_string(), "breed": "g8", "yard": "a", "loaners": false, "stance": "running",
+            "heldS": 600.0}));
+        let taking = machine.clone();
+        spawn_local(serve(listener, BOUNDS, move |request| take_request(taking.clone(), request)));
+        spawn_local(pass_time(machine.clone()));
+        spawn_local(report_for_ever(machine, fronts.to_vec(), number));
+    }
+    (history, listed)
+}
+
+async fn pass_time(machine: Rc<RefCell<Machine>>) {
+    loop {
+        tokio::time::sleep(TURN).await;
+        machine.borrow_mut().pass_time();
+    }
+}
+
+async fn take_request(machine: Rc<RefCell<Machine>>, request: Request<Incoming>) -> Reply {
+    let Ok(body) = read_body(request.into_body(), BODY_LIMIT, BOUNDS.read).await else {
+        return reply(400, Vec::new(), MESSAGE_PACK);
+    };
+    let mut machine = machine.borrow_mut();
+    let status = match decode::<DirectOrders>(&body) {
+        None => 400,
+        Some(message) if message.token < machine.token || message.session != machine.session => 409,
+        Some(message) => {
+            machine.token = message.token;
+            machine.execute(message.orders);
+            200
+        }
+    };
+    reply(status, encode(&machine.report()), MESSAGE_PACK)
+}
+
+async fn report_for_ever(
+    machine: Rc<RefCell<Machine>>,
+    fronts: Vec<(String, SocketAddr)>,
+    first: usize,
+) {
+    let mut at = first % fronts.len();
+    loop {
+        let client = Client::new(fronts[at].1, MESSAGE_PACK, 1);
+        let next = report_to(&machine, &client).await;
+        let named = next.and_then(|name| fronts.iter().position(|(node, _)| *node == name));
+        at = named.filter(|named| *named != at).unwrap_or((at + 1) % fronts.len());
+        if named.is_none() {
+            tokio::time::sleep(REPORT_EVERY).await;
+        }
+    }
+}
+
+/// Reports to one controller until that sends the worker away; whom it names.
+async fn report_to(machine: &Rc<RefCell<Machine>>, client: &Client) -> Option<String> {
+    loop {
+        let sent = Instant::now();
+        let (body, session) = {
+            let mut machine = machine.borrow_mut();
+            (encode(&machine.report()), machine.session)
+        };
+        let answer = client.send(Method::POST, "/checkin", body, Duration::from_secs(4)).await;
+        let (status, body) = answer.ok()?;
+        if status == 421 {
+            let named = decode::<Value>(&body)?;
+            return named["conductor"].as_str().map(str::to_owned);
+        }
+        let answer = decode::<ReportAnswer>(&body).filter(|_| status == 200)?;
+        {
+            let mut machine = machine.borrow_mut();
+            if answer.token >= machine.token && session == machine.session {
+                machine.token = answer.token;
+                machine.answered = machine.answered.max(sent);
+                machine.execute(answer.orders);
+            }
+        }
+        tokio::time::sleep(REPORT_EVERY).await;
+    }
+}
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -1,7 +1,9 @@
 //! What tests of the real program stand on: stand-ins that speak HTTP over loopback.
 
+mod fleet;
 #[path = "../world/state.rs"]
 mod state;
+mod team_limits;
 mod worker;
 
 use hyper::body::Incoming;
@@ -21,8 +23,12 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
+pub use fleet::History;
 pub use worker::StandInWorker;
 
+/// The limit of the team in the settings.
+pub const LIMIT_GPUS: usize = 16;
+
 pub const WAIT: Duration = Duration::from_secs(10);
 
 /// Answers requests as the state service's pages say.
@@ -75,12 +81,14 @@
     reply(status, body, MESSAGE_PACK)
 }
 
-async fn cloud(request: Request<Incoming>) -> Reply {
+async fn cloud(listed: Rc<RefCell<Vec<Value>>>, request: Request<Incoming>) -> Reply {
     let body = match request.uri().path() {
         "/flavors" => json!({"breeds": [{"label": "g8", "cores": 96, "cards": 8, "memGb": 768,
             "cacheGb": 200, "pullGbPerS": 1.0, "rate": 12.0, "marketPrice": 4.5, "bootS": 45,
             "yards": ["a"]}]}),
-        "/rentals" if request.method() == Method::GET => json!({"drumheads": [], "more": false}),
+        "/rentals" if request.method() == Method::GET => {
+            json!({"drumheads": *listed.borrow(), "more": false})
+        }
         _ => {
             let none = encode(&json!({"error": "no capacity"}));
             return reply(503, none, MESSAGE_PACK);
@@ -148,8 +156,15 @@
 }
 
 pub fn start(settings: &std::path::Path) -> Program {
+    start_with(settings, None)
+}
+
+pub fn start_with(settings: &std::path::Path, features: Option<&std::path::Path>) -> Program {
     let program = env!("CARGO_BIN_EXE_ochredrum");
     let mut command = Command::new(program);
+    if let Some(features) = features {
+        command.arg("--features").arg(features);
+    }
     command.arg("--config").arg(settings).stderr(Stdio::null());
     Program(command.spawn().unwrap())
 }
@@ -193,17 +208,24 @@
 /// How connections to stand-ins are bounded.
 pub const BOUNDS: Bounds = Bounds { connections: 100, read: WAIT };
 
-/// The program's addresses, with a state service and a cloud to talk to.
+/// The addresses of one or more controllers, with a state service and a cloud to talk to.
 pub struct Deployment {
+    /// Of the first controller.
     pub front: SocketAddr,
-    mesh: SocketAddr,
+    pub fronts: Vec<SocketAddr>,
+    meshes: Vec<SocketAddr>,
     cloud: SocketAddr,
     state: SocketAddr,
+    listed: Rc<RefCell<Vec<Value>>>,
 }
 
 impl Deployment {
-    /// The stand-ins serve from now on.
+    /// One controller. The stand-ins serve from now on.
     pub async fn new() -> Self {
+        Self::of(1).await
+    }
+
+    pub async fn of(controllers: usize) -> Self {
         let state = Rc::new(RefCell::new(State::default()));
         let began = Instant::now();
         let (listener, state_at) = listen().await;
@@ -211,13 +233,47 @@
             state_service(state.clone(), began, request)
         }));
         let (listener, cloud_at) = listen().await;
-        spawn_local(serve(listener, BOUNDS, cloud));
-        let ((front, front_at), (mesh, mesh_at)) = (listen().await, listen().await);
-        drop((front, mesh));
-        Self { front: front_at, mesh: mesh_at, cloud: cloud_at, state: state_at }
+        let listed = Rc::new(RefCell::new(Vec::new()));
+        let at_cloud = listed.clone();
+        spawn_local(serve(listener, BOUNDS, move |request| cloud(at_cloud.clone(), request)));
+        let (mut fronts, mut meshes, mut held) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..controllers {
+            let ((front, front_at), (mesh, mesh_at)) = (listen().await, listen().await);
+            held.extend([front, mesh]);
+            fronts.push(front_at);
+            meshes.push(mesh_at);
+        }
+        drop(held);
+        Self { front: fronts[0], fronts, meshes, cloud: cloud_at, state: state_at, listed }
     }
 
     pub fn settings(&self) -> String {
-        settings(self.front, self.mesh, self.cloud, self.state)
+        self.settings_of(0)
+    }
+
+    pub fn mesh_of(&self, node: usize) -> SocketAddr {
+        self.meshes[node]
+    }
+
+    pub fn settings_of(&self, node: usize) -> String {
+        let text = settings(self.fronts[node], self.meshes[node], self.cloud, self.state);
+        let others = (0..self.meshes.len()).filter(|other| *other != node);
+        let siblings: String = others
+            .map(|other| {
+                let address = self.meshes[other];
+                format!("[[siblings]]\nhost_name = \"n{other}\"\naddr = \"{address}\"\n")
+            })
+            .collect();
+        let text = text.replace("host_name = \"n0\"", &format!("host_name = \"n{node}\""));
+        text.replace("[services]", &format!("{siblings}[services]"))
+    }
+
+    /// Workers that report to all controllers and are listed by the cloud; what they run.
+    pub async fn start_fleet(&self, machines: usize, lease: Duration) -> Rc<RefCell<History>> {
+        let nodes = (0..self.fronts.len()).map(|node| (format!("n{node}"), self.fronts[node]));
+        let nodes: Vec<(String, SocketAddr)> = nodes.collect();
+        let (history, listed) = fleet::start_fleet(machines, &nodes, lease, LIMIT_GPUS).await;
+        *self.listed.borrow_mut() = listed;
+        history
     }
 }
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -54,7 +54,9 @@
                     let key = c.put.as_ref().or(c.deleted.as_ref());
                     c.version > from && key.is_some_and(|key| key.starts_with(prefix))
                 };
-                let events = self.log.iter().filter(hit).cloned().collect();
+                // In the order of their versions; a long log is not read from its beginning.
+                let newer = self.log.partition_point(|change| change.version <= from);
+                let events = self.log[newer..].iter().filter(hit).cloned().collect();
                 StateReply::Changes(Changes { revision: self.revision, events })
             }
             StateCall::Commit(transaction) => {
