--- a/tests/loopback/team_limits.rs
+++ b/tests/loopback/team_limits.rs
@@ -70,8 +70,8 @@
                 drop(programs[node].take());
             }
             if round % KILL_EVERY == 3 {
-                for node in 0..CONTROLLERS {
-                    programs[node].get_or_insert_with(|| run(node));
+                for (node, program) in programs.iter_mut().enumerate() {
+                    program.get_or_insert_with(|| run(node));
                 }
             }
             tokio::time::sleep(ROUND).await;
