Fixed limits that would hold 4,000 machines back are ratios; leadership is claimed anew before its terms end

Need: about 4,000 machines. A share could want 400 machines, a plan saw 1,000 tasks of a job, arrivals beyond 512 were forgotten, a message of more than 1 MiB was refused; the leader compared each newcomer and each wanted machine with the whole fleet. A team whose limit was removed could leave a record of grants behind that others would rely on with a limit again.

Change: ratios to the cloud's calls, the state service's changes and the process's memory; a plan skips machines without room for more of the same job; spare machines and counts are looked up once a turn (spare_machines); the leader's key is written anew when half of its terms are used; a record is removed where there is no limit.

--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -417,6 +417,9 @@
             (node_key(&record.node), version, AuthorityCall::Register { lease })
         } else if self.view.leader().is_none() && self.authority.entitled(now) {
             (LEADER_KEY.to_owned(), 0, AuthorityCall::Claim { lease })
+        } else if let Some(worn) = self.leader.as_ref().filter(|leader| leader.is_worn()) {
+            // Under the key's new revision there are fresh terms. It stays this process's key.
+            (LEADER_KEY.to_owned(), worn.term, AuthorityCall::Claim { lease })
         } else {
             return;
         };
--- a/src/core/authority/tests.rs
+++ b/src/core/authority/tests.rs
@@ -1,3 +1,5 @@
+use super::super::Effect;
+use super::super::leader::Leader;
 use super::*;
 
 fn workers(report_s: f64, lease_s: f64, cancel_s: f64) -> Workers {
@@ -80,3 +82,31 @@
     let other = (Node::from("n1"), 8);
     assert!(!authority.lapsed(&other, &view, &peers, over + 1.0), "another process");
 }
+
+/// A leader whose terms are running out claims its key anew, guarded by the key's revision; a fleet that
+/// ran for weeks under one leader changed nothing any more.
+#[test]
+fn a_worn_leadership_is_claimed_anew() {
+    let config = crate::config::Config::parse(crate::config::TEST_SETTINGS).unwrap();
+    let mut core = Core::new(config, 1);
+    core.io.begin(1.0, 0);
+    core.authority.lease = Lease::Held(5);
+    let record = ProcessRecord {
+        node: core.config.node.clone(),
+        incarnation: core.authority.incarnation,
+        lease: 5,
+        keeps_grants: false,
+    };
+    core.view.apply_write(&put(&node_key(&record.node), &record, Some(5)), 7);
+    core.view.apply_write(&put(LEADER_KEY, &record, Some(5)), 8);
+    core.leader = Some(Leader::new(&core.config, 8, &core.view, 1.0));
+    core.write_keys(5);
+    assert!(core.io.take_effects().is_empty(), "not yet worn");
+    while let Some(leader) = core.leader.as_mut().filter(|leader| !leader.is_worn()) {
+        assert!(leader.map.next_term().is_some());
+    }
+    core.write_keys(5);
+    let effects = core.io.take_effects();
+    let [Effect::State(_, StateCall::Commit(claim))] = &effects[..] else { panic!("{effects:?}") };
+    assert_eq!(claim.guards, [guard(LEADER_KEY, 8)]);
+}
--- a/src/core/forecast.rs
+++ b/src/core/forecast.rs
@@ -8,19 +8,28 @@
 use std::rc::Rc;
 
 /// What has arrived lately.
-#[derive(Default)]
 pub struct Forecast {
     arrivals: VecDeque<(Time, Rc<JobSpec>)>,
+    /// Arrivals kept at most.
+    most: usize,
 }
 
 /// Arrivals are averaged over this many boot times.
 const HISTORY_BOOTS: f64 = 3.0;
-/// Arrivals kept at most.
-const HISTORY: usize = 512;
+/// Arrivals are kept for as many times `cancel_s` at most; each takes a change in the state service.
+const HISTORY_CANCELS: f64 = 4.0;
+
 impl Forecast {
+    /// Nothing has arrived yet.
+    pub fn new(config: &Config) -> Self {
+        let deployment = &config.deployment;
+        let most = deployment.state.write_rps * deployment.workers.cancel_s * HISTORY_CANCELS;
+        Self { arrivals: VecDeque::new(), most: (most as usize).max(1) }
+    }
+
     /// A job arrived, perhaps at another owner and a while ago.
     pub fn arrived(&mut self, spec: &Rc<JobSpec>, at: Time) {
-        if self.arrivals.len() >= HISTORY {
+        if self.arrivals.len() >= self.most {
             self.arrivals.pop_front();
         }
         let place = self.arrivals.partition_point(|(other, _)| *other <= at);
--- a/src/core/forecast/tests.rs
+++ b/src/core/forecast/tests.rs
@@ -5,7 +5,7 @@
 #[test]
 fn tight_images_are_those_a_fetch_makes_late() {
     let config = Config::parse(crate::config::TEST_SETTINGS).unwrap();
-    let mut forecast = Forecast::default();
+    let mut forecast = Forecast::new(&config);
     forecast.arrived(&service("chat", "large", 60.0), 50.0);
     forecast.arrived(&service("chat", "large", 60.0), 1.0);
     forecast.arrived(&service("chat", "small", 20.0), 50.0);
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Whether leadership is to be claimed anew, since it is running out of terms.
+    pub fn is_worn(&self) -> bool {
+        self.map.is_worn() && !self.writing
+    }
+
     pub fn refused(&self) -> BTreeSet<Offer> {
         self.cloud.refused()
     }
@@ -256,28 +261,38 @@
     /// Newcomers go to whoever they were rented for, or where machines of their kind are fewest;
     /// a controller without a team needs none.
     fn take_in(&mut self, living: &BTreeMap<Node, u64>) {
+        if self.newcomers.is_empty() {
+            return;
+        }
+        let mut counts = self.machine_counts(living);
         for (id, offer) in std::mem::take(&mut self.newcomers) {
             let meant = self.cloud.arrived(&id, &offer);
-            let meant = meant.filter(|node| living.contains_key(node) && self.teams_of(node) > 0);
-            let Some(node) = meant.or_else(|| self.fewest_machines(living, &offer)) else {
-                continue;
-            };
+            let meant = meant.filter(|node| counts.contains_key(node));
+            let rank = |count: &MachineCount| (count.of_kind(&offer), count.all);
+            let fewest = || counts.iter().min_by_key(|(_, count)| rank(count));
+            let node = meant.or_else(|| fewest().map(|(node, _)| node.clone()));
+            let Some(node) = node else { continue };
+            if let Some(count) = counts.get_mut(&node) {
+                count.add(&offer);
+            }
             self.give_machine(&id, &node, living[&node], None);
         }
     }
 
-    fn fewest_machines(&self, living: &BTreeMap<Node, u64>, offer: &Offer) -> Option<Node> {
-        let mut counts: BTreeMap<&Node, (usize, usize)> = BTreeMap::new();
-        for node in living.keys().filter(|node| self.teams_of(node) > 0) {
-            counts.insert(node, (0, 0));
-        }
+    /// The machines of living controllers that have teams.
+    fn machine_counts(&self, living: &BTreeMap<Node, u64>) -> BTreeMap<Node, MachineCount> {
+        let with_teams = living.keys().filter(|node| self.teams_of(node) > 0);
+        let mut counts: BTreeMap<Node, MachineCount> =
+            with_teams.map(|node| (node.clone(), MachineCount::default())).collect();
         for (id, owner) in &self.map.owners.machines {
-            if let Some((same, all)) = counts.get_mut(&owner.node) {
-                *same += usize::from(self.cloud.offer_of(id) == Some(offer));
-                *all += 1;
+            if let Some(count) = counts.get_mut(&owner.node) {
+                match self.cloud.offer_of(id) {
+                    Some(offer) => count.add(offer),
+                    None => count.all += 1,
+                }
             }
         }
-        counts.into_iter().min_by_key(|(_, count)| *count).map(|(node, _)| node.clone())
+        counts
     }
 
     /// Fresh terms for machines that may have lost commands, and for teams short of attempts.
@@ -368,6 +383,24 @@
     }
 }
 
+/// How many machines a controller has.
+#[derive(Default)]
+struct MachineCount {
+    by_kind: BTreeMap<Offer, usize>,
+    all: usize,
+}
+
+impl MachineCount {
+    fn add(&mut self, kind: &Offer) {
+        *self.by_kind.entry(kind.clone()).or_default() += 1;
+        self.all += 1;
+    }
+
+    fn of_kind(&self, kind: &Offer) -> usize {
+        self.by_kind.get(kind).copied().unwrap_or(0)
+    }
+}
+
 fn versions(view: &View) -> BTreeMap<String, Version> {
     view.map().iter().map(|(key, stored)| (key.clone(), stored.version)).collect()
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,7 @@
 pub mod report_routing;
 pub mod resumption;
 pub mod schedule;
+pub mod spare_machines;
 pub mod starts_in_flight;
 pub mod status;
 pub mod supply;
--- a/src/core/opportunistic/tests.rs
+++ b/src/core/opportunistic/tests.rs
@@ -31,7 +31,7 @@
 /// What a share without room asks for on behalf of an opportunistic job.
 fn wanted(spec: &Rc<JobSpec>, starved: bool, refused: &BTreeSet<Offer>) -> Need {
     let (types, mut need) = (types(), Need::default());
-    let mut plan = Plan::new(&types, refused, Vec::new());
+    let mut plan = Plan::new(&types, refused, Vec::new(), 400);
     let mut rentals = rentals_worth(&types, machine_time(&types, spec, spec.tasks));
     if starved {
         rentals = rentals.max(1);
@@ -98,7 +98,7 @@
         opportunistic: full,
         ..Bin::empty(Some("m-1".into()), (TypeName::from("g8"), Zone::from("a"), false))
     };
-    let (mut plan, mut need) = (Plan::new(&types, &refused, vec![bin]), Need::default());
+    let (mut plan, mut need) = (Plan::new(&types, &refused, vec![bin], 400), Need::default());
     plan.serve(Wanted::expected(service("chat", "x", 1.0), 2), &mut need);
     assert_eq!(need.wanted(), 0);
     // Opportunistic work itself finds none there.
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -131,7 +131,7 @@
             running: BTreeMap::new(),
             running_at: Time::NEG_INFINITY,
             weights: Weights::default(),
-            forecast: Forecast::default(),
+            forecast: Forecast::new(config),
             need: Need::default(),
             next_plan: now,
             refused: BTreeSet::new(),
--- a/src/core/part_map.rs
+++ b/src/core/part_map.rs
@@ -12,6 +12,8 @@
 
 /// Changes that one leadership can number.
 const CHANGE_BITS: u32 = 16;
+/// Part of them after which leadership is claimed anew, long before they run out.
+const WORN_PART: f64 = 0.5;
 
 /// One stored value of the map.
 #[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -142,6 +144,11 @@
             .then_some(Term((self.leader << CHANGE_BITS) | self.changes))
     }
 
+    /// Whether this leadership has numbered so many changes that it should be claimed anew.
+    pub fn is_worn(&self) -> bool {
+        self.changes as f64 > f64::from(1 << CHANGE_BITS) * WORN_PART
+    }
+
     pub fn set_team(&mut self, team: &Team, owner: Owner) {
         self.owners.teams.insert(team.clone(), owner);
         self.teams_dirty = true;
--- a/src/core/part_map/tests.rs
+++ b/src/core/part_map/tests.rs
@@ -45,3 +45,15 @@
     next.remove_machine(&"m-000000".into());
     assert_eq!(next.take_dirty(9, usize::MAX).len(), 1, "only the chunk that changed");
 }
+
+/// A fleet that runs for weeks under one leader used up its terms, and then nothing changed hands any more.
+#[test]
+fn a_leadership_is_worn_long_before_its_terms_run_out() {
+    let mut map = PartMap::new(7, &BTreeMap::new(), 4.0);
+    let mut changes = 0;
+    while !map.is_worn() {
+        assert!(map.next_term().is_some());
+        changes += 1;
+    }
+    assert!(changes > 1 << 14 && (0..1 << 14).all(|_| map.next_term().is_some()));
+}
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -13,9 +13,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// Machines wanted at once at most. A share that is to grow several times over must be able to ask
-/// for that at once: each further asking costs its users a boot.
-const WANTS: u32 = 400;
+/// Tasks of one job that a plan finds room for on machines that are there. Each of them is compared
+/// with every machine; what is left over is seen by the next plan.
+const PLACED_ON_MACHINES: u32 = 1000;
 /// Tasks that a plan has to find room for.
 pub struct Wanted {
     pub spec: Rc<JobSpec>,
@@ -76,6 +76,8 @@
 
 /// Bins, and what has been put into them so far.
 pub struct Plan<'a> {
+    /// Machines wanted at once at most.
+    most_wanted: u32,
     types: &'a [MachineType],
     /// What the cloud has none of at present.
     refused: &'a BTreeSet<Offer>,
@@ -84,12 +86,17 @@
 }
 
 impl<'a> Plan<'a> {
-    pub fn new(types: &'a [MachineType], refused: &'a BTreeSet<Offer>, bins: Vec<Bin>) -> Self {
+    pub fn new(
+        types: &'a [MachineType],
+        refused: &'a BTreeSet<Offer>,
+        bins: Vec<Bin>,
+        most_wanted: u32,
+    ) -> Self {
         let mut machines_in_zone: BTreeMap<Zone, u32> = BTreeMap::new();
         for bin in &bins {
             *machines_in_zone.entry(bin.offer.1.clone()).or_default() += 1;
         }
-        Self { types, refused, bins, machines_in_zone }
+        Self { most_wanted, types, refused, bins, machines_in_zone }
     }
 
     pub fn bins(&self) -> &[Bin] {
@@ -116,14 +123,19 @@
             let size = if room.gpus > 0.0 { room.gpus } else { room.cpus };
             need.queued += size * f64::from(count);
         }
+        let bound_to_zones = spec.spread || spec.one_zone;
+        // Before this bin there is no room for any further task of the job.
+        let mut first = 0;
+        let mut placed_on_machines = 0;
         for _ in 0..count {
-            // A job of 100,000 tasks is no reason to want thousands of machines.
-            if need.wanted() >= WANTS {
+            // A job of 100,000 tasks is no reason to want more machines than can be rented soon.
+            if need.wanted() >= self.most_wanted || placed_on_machines >= PLACED_ON_MACHINES {
                 return;
             }
             let open = |zone: &Zone| zone_allows(&spec, zone, &tasks_in_zone);
-            let zone = match self.best_bin(&spec, &room, &avoided, &open) {
+            let zone = match self.best_bin(first, &spec, &room, &avoided, &open) {
                 Some(bin) => {
+                    placed_on_machines += u32::from(bin.machine.is_some());
                     bin.free = bin.free.less(&room);
                     bin.used = true;
                     bin.planned = true;
@@ -131,6 +143,7 @@
                     bin.offer.1.clone()
                 }
                 None => {
+                    first = if bound_to_zones { 0 } else { self.bins.len() };
                     let wanted_zone = self.want_machine(&spec, &room, &open, urgency, need);
                     let Some(zone) = wanted_zone else { return };
                     zone
@@ -161,12 +174,19 @@
         let anywhere = |_: &Zone| true;
         // Most jobs find room, or nothing may be rented: then nobody asks what would be worth it.
         let mut kinds = None;
+        let mut first = 0;
+        let mut placed_on_machines = 0;
         for _ in 0..count {
-            if let Some(bin) = self.best_bin(&spec, &room, &avoided, &anywhere) {
+            if placed_on_machines >= PLACED_ON_MACHINES {
+                return;
+            }
+            if let Some(bin) = self.best_bin(first, &spec, &room, &avoided, &anywhere) {
                 bin.free = bin.free.less(&room);
                 bin.fills_up = true;
+                placed_on_machines += u32::from(bin.machine.is_some());
                 continue;
             }
+            first = self.bins.len();
             if *rentals == 0 {
                 return;
             }
@@ -196,8 +216,10 @@
         (any_of, self.refused.iter().cloned().chain(dear).collect())
     }
 
+    /// The bin that a task fits into best, of those from `first` on.
     fn best_bin(
         &mut self,
+        first: usize,
         spec: &JobSpec,
         room: &Resources,
         avoided: &BTreeSet<MachineId>,
@@ -211,7 +233,7 @@
         };
         let left = |bin: &Bin| (bin.free.gpus - room.gpus, bin.free.cpus - room.cpus);
         let dear = |bin: &Bin| spec.spot && !bin.offer.2;
-        self.bins.iter_mut().filter(|bin| fits(bin)).min_by(|a, b| {
+        self.bins[first..].iter_mut().filter(|bin| fits(bin)).min_by(|a, b| {
             let (a_left, b_left) = (left(a), left(b));
             (dear(a).cmp(&dear(b)))
                 .then(b.used.cmp(&a.used))
--- a/src/core/plan/tests.rs
+++ b/src/core/plan/tests.rs
@@ -25,7 +25,7 @@
     let offer = || (TypeName::from("g8"), Zone::from("a"), false);
     let bin = || Bin { free: total_room(&types[1]), ..Bin::empty(Some("m-1".into()), offer()) };
     let wants = |avoided: BTreeSet<MachineId>| {
-        let (mut plan, mut need) = (Plan::new(&types, &refused, vec![bin()]), Need::default());
+        let (mut plan, mut need) = (Plan::new(&types, &refused, vec![bin()], 10), Need::default());
         let waiting = Wanted { avoided, ..Wanted::expected(service("chat", "x", 1.0), 1) };
         plan.serve(waiting, &mut need);
         need.wanted()
@@ -33,3 +33,17 @@
     assert_eq!(wants(BTreeSet::new()), 0);
     assert_eq!(wants(BTreeSet::from(["m-1".into()])), 1);
 }
+
+/// Four thousand machines are asked for at once, as many as there may be; a job that could use more asks
+/// for no more than that.
+#[test]
+fn a_wide_job_wants_thousands_of_machines_at_once() {
+    let (types, refused) = (types(), BTreeSet::new());
+    let wants = |tasks: u32| {
+        let mut plan = Plan::new(&types, &refused, Vec::new(), 4000);
+        let mut need = Need::default();
+        plan.serve(Wanted::expected(service("chat", "x", 1.0), tasks), &mut need);
+        need.wanted()
+    };
+    assert_eq!((wants(400), wants(16_000), wants(100_000)), (100, 4000, 4000));
+}
--- a/src/core/quota.rs
+++ b/src/core/quota.rs
@@ -23,6 +23,10 @@
 }
 
 impl Units {
+    fn of(need: &Resources) -> Self {
+        Self { cpus: need.cpus, gpus: need.gpus }
+    }
+
     fn add(&mut self, other: Self) {
         self.cpus += other.cpus;
         self.gpus += other.gpus;
@@ -57,6 +61,8 @@
     teams: BTreeMap<Team, TeamUsage>,
     /// Of these it is not known what they use: those with limits start nothing.
     closed: BTreeSet<Team>,
+    /// Of these it is not known whether there is a record of grants: they start nothing.
+    undecided: BTreeSet<Team>,
 }
 
 impl Usage {
@@ -67,6 +73,12 @@
         used.own.add(Units { cpus, gpus });
     }
 
+    /// Many tasks more that were started here.
+    pub fn add_tasks(&mut self, team: &Team, need: &Resources, count: usize) {
+        let Units { cpus, gpus } = Units::of(need).times(count);
+        self.add(team, cpus, gpus);
+    }
+
     /// More that a former owner of the team may have started.
     fn add_inherited(&mut self, team: &Team, cpus: f64, gpus: f64) {
         self.teams.entry(team.clone()).or_default().all.add(Units { cpus, gpus });
@@ -88,34 +100,45 @@
     /// The same without regard to grants.
     pub fn without_grants(mut self) -> Self {
         self.teams.values_mut().for_each(|used| used.ceiling = None);
+        self.undecided.clear();
         self
     }
 
     /// Whether the team may use this much more without passing its limit and our grant.
     pub fn allows(&self, limits: &TeamLimits, cpus: f64, gpus: f64) -> bool {
-        let more = Units { cpus, gpus };
-        self.limit_allows(limits, more) && self.grant_allows(limits, more)
+        let need = Resources { cpus, gpus, ..Resources::default() };
+        self.room_in_limit(limits, &need, 1) == 1 && self.covered_by_grant(limits, &need, 1) == 1
     }
 
-    fn limit_allows(&self, limits: &TeamLimits, more: Units) -> bool {
-        let used = self.of(&limits.name);
-        let limited = limits.cpus_max > 0.0 || limits.gpus_max > 0.0;
-        !(limited && self.closed.contains(&limits.name))
-            && within(used.cpus + more.cpus, limits.cpus_max)
-            && within(used.gpus + more.gpus, limits.gpus_max)
+    fn is_closed(&self, limits: &TeamLimits) -> bool {
+        let closed = limit_of(limits).is_limited() && self.closed.contains(&limits.name);
+        closed || self.undecided.contains(&limits.name)
     }
 
-    fn grant_allows(&self, limits: &TeamLimits, more: Units) -> bool {
-        let Some(used) = self.teams.get(&limits.name) else { return true };
-        let Some(ceiling) = used.ceiling else { return true };
-        let own = used.own.amount().plus(&more.amount());
-        ceiling.covers(&limit_of(limits).limited(&own))
+    fn covered_by_grant(&self, limits: &TeamLimits, need: &Resources, most: usize) -> usize {
+        let used = self.teams.get(&limits.name);
+        let Some((used, ceiling)) = used.and_then(|used| Some((used, used.ceiling?))) else {
+            return most;
+        };
+        let limit = limit_of(limits);
+        fitting(most, |count| {
+            let mut own = used.own;
+            own.add(Units::of(need).times(count));
+            ceiling.covers(&limit.limited(&own.amount()))
+        })
     }
 
     /// How many of `most` tasks fit into the team's limit.
     pub fn room_in_limit(&self, limits: &TeamLimits, need: &Resources, most: usize) -> usize {
-        let need = Units { cpus: need.cpus, gpus: need.gpus };
-        fitting(most, |count| self.limit_allows(limits, need.times(count)))
+        if self.is_closed(limits) {
+            return 0;
+        }
+        let used = self.of(&limits.name);
+        fitting(most, |count| {
+            let more = Units::of(need).times(count);
+            within(used.cpus + more.cpus, limits.cpus_max)
+                && within(used.gpus + more.gpus, limits.gpus_max)
+        })
     }
 
     /// How many of `most` tasks that would be started now our grant covers: all or none of them if
@@ -127,8 +150,8 @@
         most: usize,
         whole: bool,
     ) -> usize {
-        let need = Units { cpus: need.cpus, gpus: need.gpus };
-        let covered = fitting(most, |count| self.grant_allows(limits, need.times(count)));
+        let covered = self.covered_by_grant(limits, need, most);
+        let need = Units::of(need);
         if covered == most {
             return most;
         }
@@ -143,7 +166,7 @@
 
     /// Whether it is known what the team uses.
     pub fn is_known(&self, team: &Team) -> bool {
-        !self.closed.contains(team)
+        !self.closed.contains(team) && !self.undecided.contains(team)
     }
 
     /// What our grant of a team covers, and what those of former owners do.
@@ -166,7 +189,9 @@
         let closed = self.closed.contains(&limits.name);
         let used = self.teams.entry(limits.name.clone()).or_default();
         match basis {
-            Basis::Undecided => self.close(&limits.name),
+            Basis::Undecided => {
+                self.undecided.insert(limits.name.clone());
+            }
             Basis::Counting { beginning } => {
                 used.ceiling = beginning;
                 used.own = used.all;
--- a/src/core/rebalance.rs
+++ b/src/core/rebalance.rs
@@ -5,9 +5,10 @@
 
 use super::Time;
 use super::leader::Leader;
+use super::spare_machines::SpareMachines;
 use super::supply::{Need, Offer, Want};
 use crate::ids::{MachineId, Node, Team};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Seconds between rounds of rebalancing.
 const ROUND_S: Time = 30.0;
@@ -83,50 +84,49 @@
         now: Time,
         served: fn(&Want) -> bool,
     ) {
-        let wanting: Vec<Node> = living.keys().cloned().collect();
-        for node in wanting {
-            let Some(need) = self.needs.get_mut(&node) else { continue };
-            let (wants, mut open) = std::mem::take(&mut need.wants).into_iter().partition(served);
-            let wants: Vec<Want> = wants;
+        if !self.needs.values().flat_map(|need| &need.wants).any(served) {
+            return;
+        }
+        let mut pool = self.spare_pool();
+        let mut moved = BTreeSet::new();
+        for node in living.keys() {
+            let Some(need) = self.needs.get_mut(node) else { continue };
+            let (wants, mut open): (Vec<Want>, Vec<Want>) =
+                std::mem::take(&mut need.wants).into_iter().partition(served);
             for mut want in wants {
                 while want.count > 0 {
-                    let found = self.spare_for(&want, &node);
-                    let found = found.or_else(|| self.roomy_for(&want, &node, now));
+                    let found = pool.take_for(&want, node);
+                    let found = found.or_else(|| self.roomy_for(&want, node, now));
                     let Some((id, from)) = found else { break };
-                    self.move_machine(&id, &from, &node, living);
+                    self.hand_machine(&id, &from, node, living);
+                    moved.insert(id);
                     want.count -= 1;
                 }
                 if want.count > 0 {
                     open.push(want);
                 }
             }
-            if let Some(need) = self.needs.get_mut(&node) {
+            if let Some(need) = self.needs.get_mut(node) {
                 need.wants = open;
             }
         }
+        self.strike(&moved);
     }
 
-    /// A spare machine in another share that would do; best one of the very kind. What waits also
-    /// gets idle ones that are kept for what is only expected elsewhere.
-    fn spare_for(&self, want: &Want, except: &Node) -> Option<(MachineId, Node)> {
-        let find = |list: fn(&Need) -> &Vec<MachineId>, fits: &dyn Fn(&Offer) -> bool| {
-            self.needs.iter().filter(|(node, _)| *node != except).find_map(|(node, need)| {
-                let usable = |id: &&MachineId| {
-                    self.cloud.offer_of(id).is_some_and(fits)
-                        && !self.cloud.releases.contains(*id)
-                        && self.map.owners.machines.get(*id).is_some_and(|o| o.node == *node)
-                };
-                list(need).iter().find(usable).map(|id| (id.clone(), node.clone()))
-            })
-        };
-        let any = |offer: &Offer| want.any_of.contains(offer);
-        let idle = find(|need| &need.spare, &|offer| *offer == want.offer)
-            .or_else(|| find(|need| &need.spare, &any));
-        if want.opportunistic {
-            return idle;
+    /// All machines that shares can spare at present.
+    fn spare_pool(&self) -> SparePool {
+        let mut pool = SparePool::default();
+        for (node, need) in &self.needs {
+            let usable = |id: &&MachineId| {
+                let owner = self.map.owners.machines.get(*id);
+                !self.cloud.releases.contains(*id) && owner.is_some_and(|o| o.node == *node)
+            };
+            let with_offer = |id| self.cloud.offer_of(id).map(|offer| (id, offer));
+            pool.spare.add(node, need.spare.iter().filter(usable).filter_map(with_offer));
+            pool.yielding.add(node, need.yielding.iter().filter(usable).filter_map(with_offer));
+            pool.kept.add(node, need.kept.iter().filter(usable).filter_map(with_offer));
         }
-        idle.or_else(|| find(|need| &need.yielding, &any))
-            .or_else(|| find(|need| &need.kept, &any).filter(|_| want.urgency.is_some()))
+        pool
     }
 
     /// The cloud has none and nobody can spare one: a machine of another share with room for what
@@ -165,18 +165,34 @@
         from: &Node,
         to: &Node,
         living: &BTreeMap<Node, u64>,
+    ) {
+        self.hand_machine(id, from, to, living);
+        self.strike(&BTreeSet::from([id.clone()]));
+    }
+
+    fn hand_machine(
+        &mut self,
+        id: &MachineId,
+        from: &Node,
+        to: &Node,
+        living: &BTreeMap<Node, u64>,
     ) {
         tracing::info!("{id} moves from {from} to {to}");
-        if let Some(need) = self.needs.get_mut(from) {
-            need.spare.retain(|other| other != id);
-            need.kept.retain(|other| other != id);
-            need.yielding.retain(|other| other != id);
-            need.closed.retain(|other| other != id);
-            need.roomy.retain(|(other, _)| other != id);
-        }
         self.give_machine(id, to, living[to], Some((from.clone(), living[from])));
     }
 
+    /// What was moved is offered by its former shares no longer.
+    fn strike(&mut self, moved: &BTreeSet<MachineId>) {
+        if moved.is_empty() {
+            return;
+        }
+        for need in self.needs.values_mut() {
+            let lists = [&mut need.spare, &mut need.kept, &mut need.yielding, &mut need.closed];
+            lists.into_iter().for_each(|list| list.retain(|id| !moved.contains(id)));
+            need.roomy.retain(|(id, _)| !moved.contains(id));
+        }
+    }
+
     /// The round: one machine from where least is queued to where most is.
     fn move_one(&mut self, living: &BTreeMap<Node, u64>) {
         let queued = |node: &Node| self.needs.get(node).map(|need| need.queued);
@@ -203,3 +219,32 @@
         }
     }
 }
+
+/// What shares can spare, in the order in which it is taken.
+#[derive(Default)]
+struct SparePool {
+    /// Idle machines that no plan uses.
+    spare: SpareMachines,
+    /// Machines with opportunistic work only.
+    yielding: SpareMachines,
+    /// Idle machines that are kept for what is only expected.
+    kept: SpareMachines,
+}
+
+impl SparePool {
+    /// A machine in another share that would do; best one of the very kind. What waits also gets
+    /// idle ones that are kept for what is only expected elsewhere.
+    fn take_for(&mut self, want: &Want, except: &Node) -> Option<(MachineId, Node)> {
+        let exact = std::slice::from_ref(&want.offer);
+        let idle = self.spare.take(exact, except);
+        let idle = idle.or_else(|| self.spare.take(&want.any_of, except));
+        if idle.is_some() || want.opportunistic {
+            return idle;
+        }
+        let yielding = self.yielding.take(&want.any_of, except);
+        match want.urgency {
+            Some(_) => yielding.or_else(|| self.kept.take(&want.any_of, except)),
+            None => yielding,
+        }
+    }
+}
--- a/src/core/renting.rs
+++ b/src/core/renting.rs
@@ -15,7 +15,7 @@
 /// Names in one release request at most.
 const RELEASE_LIMIT: usize = 100;
 /// Machines in one rental request at most.
-const RENT_LIMIT: usize = 50;
+pub(super) const RENT_LIMIT: usize = 50;
 /// Machines listed at most.
 const LIST_LIMIT: usize = 10_000;
 /// Machines that take this many times their boot time are given up.
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -11,8 +11,10 @@
 use super::owner::Owner;
 use super::plan::{Bin, Plan, Wanted};
 use super::quota::Usage;
+use super::renting::RENT_LIMIT;
 use super::schedule::limits;
 use super::view::View;
+use crate::config::Config;
 use crate::ids::{MachineId, Team, Term, TypeName, Zone};
 use crate::wire::{MachineType, Priority};
 use serde::{Deserialize, Serialize};
@@ -89,8 +91,6 @@
     }
 }
 
-/// Tasks of one job that a plan looks at.
-const PLANNED: u32 = 1000;
 /// Machines with room told to the leader at most.
 const ROOMY: usize = 6;
 /// Opportunistic work that has not begun after this many times `cancel_s` may rent any machine.
@@ -98,6 +98,15 @@
 /// Leases after which a silent machine is given up.
 const SILENT_LEASES: f64 = 3.0;
 
+/// Machines that a share wants at once at most: as many as the cloud can be asked for within the time
+/// that a cancellation has. A share that is to grow several times over must be able to ask for that
+/// at once, for each further asking costs its users a boot.
+fn most_wanted(config: &Config) -> u32 {
+    let deployment = &config.deployment;
+    let calls = deployment.cloud.rps * deployment.workers.cancel_s;
+    (calls * RENT_LIMIT as f64) as u32
+}
+
 /// What a share needs room for.
 #[derive(Default)]
 struct Demand {
@@ -140,7 +149,7 @@
         let now = io.now;
         let types = catalog.types();
         let refused = self.refused.clone();
-        let mut plan = Plan::new(types, &refused, self.bins(now));
+        let mut plan = Plan::new(types, &refused, self.bins(now), most_wanted(&self.config));
         // What is needed does not depend on how much of the limit is granted yet.
         let mut usage = self.usage(view, io.wall_ms).without_grants();
         let Demand { pressing, opportunistic } = self.demand(types, &mut usage, now);
@@ -221,13 +230,9 @@
                 continue;
             }
             let Some(limits) = limits(&self.config, &job.spec) else { continue };
-            let mut count = 0;
-            while count < (job.waiting().len() as u32).min(PLANNED)
-                && usage.allows(limits, job.spec.cpus, job.spec.gpus)
-            {
-                usage.add(&limits.name, job.spec.cpus, job.spec.gpus);
-                count += 1;
-            }
+            let room = usage.room_in_limit(limits, &job.need(), job.waiting().len());
+            usage.add_tasks(&limits.name, &job.need(), room);
+            let count = room as u32;
             let (spec, zones) = (job.spec.clone(), job.zones.clone());
             let avoided = job.failures.avoided().cloned().unwrap_or_default();
             let wanted = Wanted { spec, count, zones, avoided, urgency: Some(job.priority) };
--- a/src/core/team_grants.rs
+++ b/src/core/team_grants.rs
@@ -61,7 +61,7 @@
     /// Since when owners have kept to their grants, as far as was ever known here: once under a
     /// grant, a process stays under it for as long as it owns the team.
     since: Option<Term>,
-    /// The state service refuses the record for good, so the team does without.
+    /// The team does without a record: it has no limit, or the state service refuses the record.
     refused: bool,
     seen: Option<Version>,
     write_after: Time,
@@ -72,13 +72,13 @@
     fn new(config: &Config, limits: &TeamLimits, incarnation: u64, term: Term) -> Option<Self> {
         let headroom = config.features.headroom(config.deployment.workers.lease_s)?;
         let limit = limit_of(limits);
-        quota_key(&limits.name).filter(|_| limit.is_limited())?;
+        quota_key(&limits.name)?;
         let node = config.node.to_string();
         let id = HolderId { term: term.0, incarnation, node };
         Some(Self {
             holder: Holder::new(id, limit, headroom),
             since: None,
-            refused: false,
+            refused: !limit.is_limited(),
             seen: None,
             write_after: Time::NEG_INFINITY,
             basis: Basis::Undecided,
@@ -103,7 +103,9 @@
             let relied_on = ledger.filter(|l| since.is_some_and(|since| l.began() >= since.0));
             self.holder.observe(version, relied_on.cloned());
         }
-        self.basis = if view.revision() < gained {
+        // Others rely on a record for as long as it is there, so nothing starts beside it.
+        let to_be_removed = self.refused && version != 0;
+        self.basis = if view.revision() < gained || to_be_removed {
             Basis::Undecided
         } else if self.holder.ledger().is_some() {
             let (own, outstanding) = (self.holder.grant(), self.holder.outstanding());
--- a/src/core/team_grants/tests.rs
+++ b/src/core/team_grants/tests.rs
@@ -1,19 +1,29 @@
+use super::super::machines::TrackedAttempt;
 use super::super::owner::Owner as Controller;
 use super::super::part_map::{MapChunk, Owner as MapOwner, PartMap, Share};
-use super::super::test_support::{owner, share_with};
+use super::super::placement::Resources;
+use super::super::test_support::{owner, record, share_with};
 use super::super::unresponsive::UnresponsiveMachines;
+use super::super::view::{JobRecord, ProcessRecord, node_key};
 use super::super::{CallId, Effect, StateCall};
 use super::*;
 use crate::config::Config;
 use crate::features::Features;
+use crate::ids::{Attempt, TaskId};
+use crate::wire::JobSpec;
 use quota_ledger::TeamLedger;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 const RED: &str = "red";
 
 fn config() -> Config {
-    let limited = r#"teams = [{ name = "red", gpus = 4.0, gpus_max = 16.0 }]"#;
-    let text = crate::config::TEST_SETTINGS.replace(r#"teams = [{ name = "red" }]"#, limited);
+    config_with_limit(16.0)
+}
+
+fn config_with_limit(gpus: f64) -> Config {
+    let limited = format!("teams = [{{ name = \"red\", gpus = 4.0, gpus_max = {gpus:?} }}]");
+    let text = crate::config::TEST_SETTINGS.replace(r#"teams = [{ name = "red" }]"#, &limited);
     let mut config = Config::parse(&text).unwrap();
     config.features = Features::parse(include_str!("../../../deploy/features.toml")).unwrap();
     config
@@ -30,7 +40,16 @@
 
 impl Scene {
     fn new(term: u64, since: Option<u64>, stored: Option<serde_json::Value>) -> Self {
-        let (share, io, view) = share_with(config());
+        Self::with(config(), term, since, stored)
+    }
+
+    fn with(
+        config: Config,
+        term: u64,
+        since: Option<u64>,
+        stored: Option<serde_json::Value>,
+    ) -> Self {
+        let (share, io, view) = share_with(config);
         let mut scene = Self { share, io, view, version: 10 };
         if let Some(value) = stored {
             scene.store(&value);
@@ -77,8 +96,17 @@
     }
 
     fn allows(&self, gpus: f64) -> bool {
-        let config = config();
-        self.usage().allows(&config.deployment.teams[0], 0.0, gpus)
+        self.usage().allows(&self.share.config.deployment.teams[0], 0.0, gpus)
+    }
+
+    /// A task that was started here runs.
+    fn runs(&mut self, gpus: f64) {
+        let machine = self.share.machines.get_mut(&"m-1".into()).unwrap();
+        let mut tracked = TrackedAttempt::new(0.0);
+        tracked.room = Some(Resources { gpus, ..Resources::default() });
+        tracked.team = Some(RED.into());
+        let task = TaskId { job: "req-000009".into(), index: 0 };
+        machine.attempts.insert((task, Attempt((9 << 16) + 1)), tracked);
     }
 
     /// What is written to the state service now.
@@ -193,6 +221,61 @@
     assert!(ledger.grants().is_empty(), "nothing of it runs: {ledger:?}");
 }
 
+#[test]
+fn what_may_still_run_stays_granted_as_the_team_goes() {
+    let mut scene = Scene::new(9, Some(9), None);
+    scene.synced();
+    scene.settle();
+    let (call, _) = scene.written().unwrap();
+    scene.answer(call, StateReply::Committed(30));
+    scene.runs(1.5);
+    scene.give("n1", 12, Some(9));
+    let (_, transaction) = scene.effects().unwrap();
+    let Write::Put { value, .. } = &transaction.writes[0] else { panic!("a record") };
+    let ledger = TeamLedger::decode(value).unwrap();
+    assert_eq!(ledger.grants()[0].amount, Amount::covering(0.0, 1.5));
+}
+
+/// What others may have started counts up to what is granted to them, however much it might be.
+#[test]
+fn what_is_not_known_counts_up_to_what_was_granted() {
+    let mut scene = Scene::new(9, Some(5), Some(held_by_other(5, 10.0)));
+    scene.synced();
+    let (_, inherited) = scene.usage().under_grants(&RED.into());
+    assert_eq!(inherited, Amount::ZERO, "nothing may run yet");
+    let spec = record(false).spec.unwrap();
+    let mut waiting = JobRecord { tasks: 1000, ..record(false) };
+    waiting.spec = Some(Rc::new(JobSpec { tasks: 1000, ..(*spec).clone() }));
+    let taken = ((0.0), 0);
+    scene.share.take_job(&scene.view, &"req-000001".into(), &Rc::new(waiting), 3, taken);
+    let (_, inherited) = scene.usage().under_grants(&RED.into());
+    let expected = Amount::covering(1000.0, 10.0);
+    assert_eq!(inherited, expected, "of a thousand tasks that may run; CPUs are not limited");
+}
+
+#[test]
+fn the_leader_notes_nothing_while_a_process_keeps_to_no_grants() {
+    let config = Rc::new(config());
+    let mut view = View::new(&config);
+    let process = |node: &str, keeps_grants: bool| ProcessRecord {
+        node: node.into(),
+        incarnation: 1,
+        lease: 1,
+        keeps_grants,
+    };
+    let tell = |view: &mut View, node: &str, keeps: bool, version: Version| {
+        view.apply_write(&put(&node_key(&node.into()), &process(node, keeps), None), version);
+    };
+    tell(&mut view, "n0", true, 1);
+    tell(&mut view, "n1", false, 2);
+    let mut leader = Leader::new(&config, 3, &view, 0.0);
+    leader.note_grant_keepers(&view);
+    assert!(!leader.keeps_grants(&owner("n0")), "n1 would be asked to go on without");
+    tell(&mut view, "n1", true, 4);
+    leader.note_grant_keepers(&view);
+    assert!(leader.keeps_grants(&owner("n0")));
+}
+
 #[test]
 fn a_record_that_the_state_service_refuses_is_done_without() {
     let mut scene = Scene::new(9, Some(5), Some(held_by_other(5, 10.0)));
@@ -208,6 +291,35 @@
     assert!(scene.written().is_none(), "it is not begun again");
 }
 
+/// With other settings the team may come to have a limit again, and then nobody may rely on what was
+/// granted before.
+#[test]
+fn a_team_whose_limit_was_removed_starts_once_its_record_is_gone() {
+    let mut scene = Scene::with(config_with_limit(0.0), 9, Some(5), Some(held_by_other(5, 10.0)));
+    scene.synced();
+    assert!(!scene.allows(1.0));
+    let (call, transaction) = scene.written().unwrap();
+    assert!(matches!(&transaction.writes[..], [Write::Delete { .. }]), "{transaction:?}");
+    scene.answer(call, StateReply::Committed(40));
+    assert!(scene.allows(1000.0) && scene.written().is_none());
+}
+
+#[test]
+fn a_limit_that_was_lowered_or_raised_holds_for_what_is_granted_from_then_on() {
+    for (limit, granted) in [(8.0, 0.0), (12.0, 1.5), (32.0, 4.0)] {
+        let stored = Some(held_by_other(5, 10.0));
+        let mut scene = Scene::with(config_with_limit(limit), 9, Some(5), stored);
+        scene.synced();
+        let (call, _) = scene.written().unwrap();
+        scene.answer(call, StateReply::Committed(30));
+        let expected = Basis::Granted {
+            own: Amount::covering(0.0, granted),
+            outstanding: Amount::covering(0.0, 10.0),
+        };
+        assert_eq!(scene.basis(), expected, "limit {limit}");
+    }
+}
+
 /// What the leader notes in the map for a team that goes to `keepers` and others, one after the other.
 fn noted(owners: &[(&str, bool)]) -> Vec<Option<u64>> {
     let mut map = PartMap::new(1, &BTreeMap::new(), 4.0);
--- a/src/core/upcoming.rs
+++ b/src/core/upcoming.rs
@@ -16,9 +16,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// Tasks of one job that are planned ahead at most.
-const PLANNED_AHEAD: u32 = 1000;
-
 /// What will soon be wanted, and the room that will be free by then.
 #[derive(Default)]
 pub struct Upcoming {
@@ -39,14 +36,10 @@
         let mut wanted = Vec::new();
         for spec in self.ready_after(view, &ending) {
             let Some(limits) = limits(&self.config, &spec) else { continue };
-            let mut count = 0;
-            while count < spec.tasks.min(PLANNED_AHEAD)
-                && usage.allows(limits, spec.cpus, spec.gpus)
-            {
-                usage.add(&limits.name, spec.cpus, spec.gpus);
-                count += 1;
-            }
-            wanted.push(Wanted::expected(spec, count));
+            let need = Resources::of(&spec);
+            let count = usage.room_in_limit(limits, &need, spec.tasks as usize);
+            usage.add_tasks(&limits.name, &need, count);
+            wanted.push(Wanted::expected(spec, count as u32));
         }
         if wanted.is_empty() {
             return Upcoming::default();
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -1,5 +1,6 @@
 //! The listener between controllers: their messages (CBOR over HTTP), and operators' questions (JSON).
 
+use crate::config::ProcessLimits;
 use crate::core::Body;
 use crate::core::peers::{MeshMessage, MeshReply};
 use crate::http::{self, Client, Reply};
@@ -13,8 +14,16 @@
 
 const CBOR: &str = "application/cbor";
 const PATH: &str = "/mesh/v1";
-/// The leader's hello carries counts of every running job.
-const MESSAGE_LIMIT: usize = 1024 * 1024;
+/// Part of a process's memory that one message may take: a hello tells of every running job and machine.
+const MESSAGE_PART: f64 = 1.0 / 16.0;
+/// Bytes of a message that are always taken.
+const LEAST_MESSAGE_LIMIT: usize = 1024 * 1024;
+
+/// Bytes of a message at most.
+pub fn message_limit(limits: &ProcessLimits) -> usize {
+    let part = limits.mem_mb * 1024.0 * 1024.0 * MESSAGE_PART;
+    (part as usize).max(LEAST_MESSAGE_LIMIT)
+}
 
 pub fn client(address: std::net::SocketAddr) -> Client {
     Client::new(address, CBOR, 4)
@@ -27,7 +36,12 @@
     (status == 200).then(|| ciborium::from_reader(body.as_ref()).ok())?
 }
 
-pub async fn handle(inbox: Rc<Inbox>, request: Request<Incoming>, read: Duration) -> Reply {
+pub async fn handle(
+    inbox: Rc<Inbox>,
+    request: Request<Incoming>,
+    limit: usize,
+    read: Duration,
+) -> Reply {
     if request.uri().path() == status::PATH {
         return answer_status(&inbox, request.method()).await;
     }
@@ -37,7 +51,7 @@
     if request.method() != Method::POST {
         return http::reply(405, Vec::new(), CBOR);
     }
-    let Ok(body) = http::read_body(request.into_body(), MESSAGE_LIMIT, read).await else {
+    let Ok(body) = http::read_body(request.into_body(), limit, read).await else {
         return http::reply(400, Vec::new(), CBOR);
     };
     let Ok(message) = ciborium::from_reader::<MeshMessage, _>(body.as_ref()) else {
--- a/src/service.rs
+++ b/src/service.rs
@@ -58,8 +58,9 @@
         front::handle(at_front.clone(), request, read)
     }));
     let at_mesh = inbox.clone();
+    let message_limit = mesh::message_limit(limits);
     spawn_local(http::serve(mesh_listener, mesh_bounds, move |request| {
-        mesh::handle(at_mesh.clone(), request, read)
+        mesh::handle(at_mesh.clone(), request, message_limit, read)
     }));
     let random = OsRng.try_next_u64().map_err(|e| ServiceError::Random(e.to_string()))?;
     // The time makes the incarnation differ from those before even where randomness repeats.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -303,6 +303,32 @@
     assert!(failures.is_empty(), "{} days:\n{}", failures.len(), failures.join("\n\n"));
 }
 
+/// A fleet of four thousand machines, most of which run two replicas, loses the controller that owns them
+/// all: everything is taken over, and work and traffic stay within what the services take.
+#[test]
+fn four_thousand_machines_survive_the_end_of_their_owner() {
+    let machines = 4000;
+    let text = format!(
+        "controllers 5\nmachines {machines}\nat 2 job service {} gpus=3\nat 4 cloud_outage 200\n\
+         at 20 crash n1 20\nat 21 job service 20 gpus=3\nuntil 20\n",
+        machines * 2 - 60
+    );
+    let mut world = play(&text);
+    world.broken.retain(|broken| !broken.starts_with("not_served"));
+    let before = world.work;
+    let began = world.now;
+    world.run(began + 40.0);
+    world.check_served();
+    assert!(world.broken.is_empty(), "{:?}", &world.broken[..world.broken.len().min(5)]);
+    let work = world.work;
+    println!("{before:?}\n{work:?}");
+    let each_second = (work.state_requests - before.state_requests) as f64 / 40.0;
+    assert!(each_second < world.limits.rps, "{each_second} requests a second");
+    let refused = work.state_busy - before.state_busy;
+    assert!(refused * 100 < work.state_requests, "{refused} were refused for the rate");
+    assert!(work.largest_message < 1024 * 1024, "{work:?}");
+}
+
 /// Seconds from the end of a limited team's owner to the first start of a job that comes after it, while
 /// a machine that hears nobody keeps it unknown what else runs of the team.
 fn first_start_after_owner_ended(grants: &str) -> f64 {
@@ -324,6 +350,22 @@
     world.now - ended
 }
 
+/// Grants are written in batches: one-task jobs of a limited team, four a second for two minutes.
+#[test]
+fn grants_cost_few_writes() {
+    let seconds = 120.0;
+    let mut day = "grants\nseed 6\nmachines 8\n".to_owned();
+    for job in 1..=480 {
+        let at = 5.0 + f64::from(job) / 4.0;
+        day += &format!("at {at} job array 1 run={} gpus=1 team=blue\n", 1 + job % 7);
+    }
+    let world = play(&(day + "until 240\n"));
+    assert!(report("few writes", &world).is_none(), "{:?}", report("few writes", &world));
+    let writes = world.grant_writes("blue");
+    println!("{writes} writes of grants for {} starts in {seconds} s", world.starts());
+    assert!(writes > 2 && (writes as f64) < seconds * world.limits.write_rps / 25.0, "{writes}");
+}
+
 /// A new owner of a limited team starts at once within what is not granted to its predecessor.
 #[test]
 fn a_new_owner_starts_within_what_is_not_granted() {
--- a/tests/world/controllers.rs
+++ b/tests/world/controllers.rs
@@ -243,6 +243,7 @@
                 let mut body = Vec::new();
                 ciborium::into_writer(&message, &mut body).ok();
                 self.work.mesh_bytes += body.len();
+                self.work.largest_message = self.work.largest_message.max(body.len());
                 let lost = Box::new(Input::MeshReply(call, None));
                 let unsent = Box::new(Input::MeshReply(call, None));
                 let message = Box::new(Input::Mesh(RequestId(0), message));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -93,6 +93,7 @@
     /// Starts after their users were told that the job is cancelled.
     pub starts_after_cancel: usize,
     pub mesh_bytes: usize,
+    pub largest_message: usize,
     pub orders: usize,
 }
 
@@ -283,6 +284,11 @@
         self.state.puts_of("ochredrum/leader")
     }
 
+    /// How often a team's record of grants was written.
+    pub fn grant_writes(&self, team: &str) -> usize {
+        self.state.puts_of(&format!("ochredrum/quota/{team}"))
+    }
+
     pub fn starts(&self) -> u64 {
         self.workers.values().map(|w| w.starts).sum::<u64>() + self.users.starts_gone
     }
