Opportunistic and ordinary work are planned in one loop, both within the job's zones

Cause: serve_opportunistic planned without the zone rules of serve, so an opportunistic job with samePlace or apart could be planned where it is never placed, and no machine was asked for that would do.

Before and after: the new test wants no machine before, one in the other zone after.

--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -117,35 +117,48 @@
 
     /// Finds room for tasks, and adds what they lack to `need`.
     pub fn serve(&mut self, wanted: Wanted, need: &mut Need) {
+        if wanted.urgency.is_some() {
+            let size = if wanted.spec.gpus > 0.0 { wanted.spec.gpus } else { wanted.spec.cpus };
+            need.queued += size * f64::from(wanted.count);
+        }
+        self.place(wanted, Purpose::Ordinary, need);
+    }
+
+    /// Finds room for tasks of an opportunistic job. For what they lack at most `rentals` machines are
+    /// added to `need`, and unless the job is starved only cheap ones; those that it takes are deducted.
+    pub fn serve_opportunistic(
+        &mut self,
+        wanted: Wanted,
+        starved: bool,
+        rentals: &mut u32,
+        need: &mut Need,
+    ) {
+        self.place(wanted, Purpose::Opportunistic { starved, rentals }, need);
+    }
+
+    fn place(&mut self, wanted: Wanted, mut purpose: Purpose, need: &mut Need) {
         let Wanted { spec, count, zones: mut tasks_in_zone, avoided, urgency } = wanted;
         let room = Resources::of(&spec);
-        if urgency.is_some() {
-            let size = if room.gpus > 0.0 { room.gpus } else { room.cpus };
-            need.queued += size * f64::from(count);
-        }
         let bound_to_zones = spec.spread || spec.one_zone;
         // Before this bin there is no room for any further task of the job.
         let mut first = 0;
         let mut placed_on_machines = 0;
         for _ in 0..count {
-            // A job of 100,000 tasks is no reason to want more machines than can be rented soon.
-            if need.wanted() >= self.most_wanted || placed_on_machines >= PLACED_ON_MACHINES {
+            if placed_on_machines >= PLACED_ON_MACHINES {
                 return;
             }
             let open = |zone: &Zone| zone_allows(&spec, zone, &tasks_in_zone);
             let zone = match self.best_bin(first, &spec, &room, &avoided, &open) {
                 Some(bin) => {
-                    placed_on_machines += u32::from(bin.machine.is_some());
                     bin.free = bin.free.less(&room);
-                    bin.used = true;
-                    bin.planned = true;
-                    bin.waited_for |= urgency.is_some();
+                    placed_on_machines += u32::from(bin.machine.is_some());
+                    purpose.mark(bin, urgency);
                     bin.offer.1.clone()
                 }
                 None => {
                     first = if bound_to_zones { 0 } else { self.bins.len() };
-                    let wanted_zone = self.want_machine(&spec, &room, &open, urgency, need);
-                    let Some(zone) = wanted_zone else { return };
+                    let rented = self.rent(&spec, &room, &open, urgency, &mut purpose, need);
+                    let Some(zone) = rented else { return };
                     zone
                 }
             };
@@ -160,62 +173,6 @@
         }
     }
 
-    /// Finds room for tasks of an opportunistic job. For what they lack at most `rentals` machines are
-    /// added to `need`, and unless the job is starved only cheap ones; those that it takes are deducted.
-    pub fn serve_opportunistic(
-        &mut self,
-        wanted: Wanted,
-        starved: bool,
-        rentals: &mut u32,
-        need: &mut Need,
-    ) {
-        let Wanted { spec, count, avoided, urgency, .. } = wanted;
-        let room = Resources::of(&spec);
-        let anywhere = |_: &Zone| true;
-        // Most jobs find room, or nothing may be rented: then nobody asks what would be worth it.
-        let mut kinds = None;
-        let mut first = 0;
-        let mut placed_on_machines = 0;
-        for _ in 0..count {
-            if placed_on_machines >= PLACED_ON_MACHINES {
-                return;
-            }
-            if let Some(bin) = self.best_bin(first, &spec, &room, &avoided, &anywhere) {
-                bin.free = bin.free.less(&room);
-                bin.fills_up = true;
-                placed_on_machines += u32::from(bin.machine.is_some());
-                continue;
-            }
-            first = self.bins.len();
-            if *rentals == 0 {
-                return;
-            }
-            let (any_of, refused) =
-                kinds.get_or_insert_with(|| self.worth_renting(&spec, &room, starved));
-            let zones = &self.machines_in_zone;
-            let offer = cheapest(self.types, &spec, &room, &anywhere, zones, refused);
-            let Some((offer, total)) = offer else { return };
-            *rentals -= 1;
-            let (wanted, any_of, gpus) = (offer.clone(), any_of.clone(), room.gpus);
-            need.want(Want { count: 1, offer: wanted, any_of, urgency, gpus, opportunistic: true });
-            self.add_rented(offer, total.less(&room)).fills_up = true;
-        }
-    }
-
-    /// The kinds of machine worth renting for an opportunistic job, and those that are not or that the
-    /// cloud has none of.
-    fn worth_renting(
-        &self,
-        spec: &JobSpec,
-        room: &Resources,
-        starved: bool,
-    ) -> (Vec<Offer>, BTreeSet<Offer>) {
-        let worth = |offer: &Offer| starved || is_cheap(self.types, offer, spec);
-        let all = offers(self.types, spec, room, &|_| true);
-        let (any_of, dear): (Vec<Offer>, Vec<Offer>) = all.into_iter().partition(worth);
-        (any_of, self.refused.iter().cloned().chain(dear).collect())
-    }
-
     /// The bin that a task fits into best, of those from `first` on.
     fn best_bin(
         &mut self,
@@ -243,26 +200,33 @@
         })
     }
 
-    /// Adds the cheapest machine that would do; the zone it would be in.
-    fn want_machine(
+    /// Adds the cheapest machine that would do and is worth it; the zone it would be in.
+    fn rent(
         &mut self,
         spec: &JobSpec,
         room: &Resources,
         open: &dyn Fn(&Zone) -> bool,
         urgency: Option<Priority>,
+        purpose: &mut Purpose,
         need: &mut Need,
     ) -> Option<Zone> {
-        let machines_in_zone = &self.machines_in_zone;
-        let (offer, total) =
-            cheapest(self.types, spec, room, open, machines_in_zone, self.refused)?;
-        let any_of = offers(self.types, spec, room, open);
+        if !purpose.may_rent(need, self.most_wanted) {
+            return None;
+        }
+        let worth = |offer: &Offer| match purpose {
+            Purpose::Ordinary | Purpose::Opportunistic { starved: true, .. } => true,
+            Purpose::Opportunistic { .. } => is_cheap(self.types, offer, spec),
+        };
+        let all = offers(self.types, spec, room, open);
+        let (any_of, dear): (Vec<Offer>, Vec<Offer>) = all.into_iter().partition(worth);
+        let refused = self.refused.iter().cloned().chain(dear).collect();
+        let zones = &self.machines_in_zone;
+        let (offer, total) = cheapest(self.types, spec, room, open, zones, &refused)?;
+        let opportunistic = purpose.rented();
         let (wanted, gpus) = (offer.clone(), room.gpus);
-        need.want(Want { count: 1, offer: wanted, any_of, urgency, gpus, opportunistic: false });
+        need.want(Want { count: 1, offer: wanted, any_of, urgency, gpus, opportunistic });
         let zone = offer.1.clone();
-        let bin = self.add_rented(offer, total.less(room));
-        bin.used = true;
-        bin.planned = true;
-        bin.waited_for = urgency.is_some();
+        purpose.mark(self.add_rented(offer, total.less(room)), urgency);
         Some(zone)
     }
 
@@ -275,6 +239,48 @@
     }
 }
 
+/// What tasks are planned as.
+enum Purpose<'r> {
+    /// Work that waits or is expected.
+    Ordinary,
+    /// Work that takes what is free, and for which machines are rented within bounds only.
+    Opportunistic { starved: bool, rentals: &'r mut u32 },
+}
+
+impl Purpose<'_> {
+    /// A task goes to this bin.
+    fn mark(&self, bin: &mut Bin, urgency: Option<Priority>) {
+        match self {
+            Self::Ordinary => {
+                bin.used = true;
+                bin.planned = true;
+                bin.waited_for |= urgency.is_some();
+            }
+            Self::Opportunistic { .. } => bin.fills_up = true,
+        }
+    }
+
+    /// Whether another machine may be wanted. A job of 100,000 tasks is no reason to want more than
+    /// can be rented soon.
+    fn may_rent(&self, need: &Need, most_wanted: u32) -> bool {
+        match self {
+            Self::Ordinary => need.wanted() < most_wanted,
+            Self::Opportunistic { rentals, .. } => **rentals > 0,
+        }
+    }
+
+    /// A machine is wanted; whether for opportunistic work.
+    fn rented(&mut self) -> bool {
+        match self {
+            Self::Ordinary => false,
+            Self::Opportunistic { rentals, .. } => {
+                **rentals -= 1;
+                true
+            }
+        }
+    }
+}
+
 /// Every kind of machine that may run the task.
 fn offers(
     types: &[MachineType],
--- a/src/core/plan/tests.rs
+++ b/src/core/plan/tests.rs
@@ -47,3 +47,21 @@
     };
     assert_eq!((wants(400), wants(16_000), wants(100_000)), (100, 4000, 4000));
 }
+
+/// An opportunistic job keeps to its zones like any other: planned where it is never placed, it would wait
+/// beside room that it can't use and ask for no other.
+#[test]
+fn opportunistic_work_is_planned_within_its_zones() {
+    let (types, refused) = (types(), BTreeSet::new());
+    let offer = || (TypeName::from("g8"), Zone::from("a"), true);
+    let bins = vec![Bin { free: total_room(&types[1]), ..Bin::empty(Some("m-1".into()), offer()) }];
+    let mut plan = Plan::new(&types, &refused, bins, 10);
+    let (mut need, mut rentals) = (Need::default(), 5);
+    let mut job = (*service("chat", "x", 1.0)).clone();
+    (job.spread, job.spot, job.tasks) = (true, true, 4);
+    let wanted = Wanted::expected(job.into(), 4);
+    plan.serve_opportunistic(wanted, false, &mut rentals, &mut need);
+    assert_eq!(need.wanted(), 1, "two of four may be in zone a, two more need a machine in b");
+    assert_eq!(need.wants[0].offer.1, Zone::from("b"));
+    assert!(need.wants[0].opportunistic && rentals == 4);
+}
--- a/src/core/team_grants.rs
+++ b/src/core/team_grants.rs
@@ -148,7 +148,8 @@
     pub(super) fn write_grants(&mut self, io: &mut Io, view: &View, usage: &Usage) {
         let names: Vec<Team> = self.teams.keys().cloned().collect();
         for name in names {
-            if !io.may_write() || !self.record_rate.has_token(io.now) {
+            // Starts wait for these few writes, so they don't wait for the rate of jobs' records.
+            if !io.may_write() {
                 return;
             }
             let Some(team) = self.teams.get_mut(&name) else { continue };
