What can't be granted now holds no room on machines back

Cause: found on reading the change again: tasks beyond what others leave of a limit kept the room that they found until a former owner's grant passed over, which lasts as long as one machine hears nobody.

Change: the room in a limit is what others leave of it. Test: no_more_is_asked_for_than_others_leave.

--- a/src/core/quota.rs
+++ b/src/core/quota.rs
@@ -48,13 +48,34 @@
     all: Units,
     /// The part that was started here since the team was gained.
     own: Units,
-    /// What was started here may not pass this.
+    /// What was started here may not pass our grant.
     ceiling: Option<Amount>,
+    /// Nor can our grant pass this, as long as others hold what they hold.
+    reachable: Option<Amount>,
     /// What waits beyond the ceiling though the limit allows it, and the first of that.
     lacking: Units,
     first_lacking: Units,
 }
 
+impl TeamUsage {
+    /// How many of `most` tasks more what was started here may grow by within `bound`.
+    fn own_within(
+        &self,
+        bound: Option<Amount>,
+        limits: &TeamLimits,
+        need: &Resources,
+        most: usize,
+    ) -> usize {
+        let Some(bound) = bound else { return most };
+        let limit = limit_of(limits);
+        fitting(most, |count| {
+            let mut own = self.own;
+            own.add(Units::of(need).times(count));
+            bound.covers(&limit.limited(&own.amount()))
+        })
+    }
+}
+
 /// What each team may be using at this moment.
 #[derive(Debug, Default)]
 pub struct Usage {
@@ -99,7 +120,10 @@
 
     /// The same without regard to grants.
     pub fn without_grants(mut self) -> Self {
-        self.teams.values_mut().for_each(|used| used.ceiling = None);
+        for used in self.teams.values_mut() {
+            used.ceiling = None;
+            used.reachable = None;
+        }
         self.undecided.clear();
         self
     }
@@ -117,24 +141,19 @@
 
     fn covered_by_grant(&self, limits: &TeamLimits, need: &Resources, most: usize) -> usize {
         let used = self.teams.get(&limits.name);
-        let Some((used, ceiling)) = used.and_then(|used| Some((used, used.ceiling?))) else {
-            return most;
-        };
-        let limit = limit_of(limits);
-        fitting(most, |count| {
-            let mut own = used.own;
-            own.add(Units::of(need).times(count));
-            ceiling.covers(&limit.limited(&own.amount()))
-        })
+        used.map_or(most, |used| used.own_within(used.ceiling, limits, need, most))
     }
 
-    /// How many of `most` tasks fit into the team's limit.
+    /// How many of `most` tasks fit into the team's limit, less what is granted to others.
     pub fn room_in_limit(&self, limits: &TeamLimits, need: &Resources, most: usize) -> usize {
         if self.is_closed(limits) {
             return 0;
         }
+        let of_team = self.teams.get(&limits.name);
+        let reachable =
+            of_team.map_or(most, |used| used.own_within(used.reachable, limits, need, most));
         let used = self.of(&limits.name);
-        fitting(most, |count| {
+        fitting(reachable, |count| {
             let more = Units::of(need).times(count);
             within(used.cpus + more.cpus, limits.cpus_max)
                 && within(used.gpus + more.gpus, limits.gpus_max)
@@ -202,6 +221,7 @@
             }
             Basis::Granted { own, outstanding } => {
                 used.ceiling = Some(own);
+                used.reachable = Some(limit.amount().less(&outstanding).max(&own));
                 let (cpus, gpus) = outstanding.units();
                 let bound = |counted: f64, granted: f64, is_limited: bool| match is_limited {
                     true if closed => granted,
--- a/src/core/team_grants/tests.rs
+++ b/src/core/team_grants/tests.rs
@@ -236,6 +236,21 @@
     assert_eq!(ledger.grants()[0].amount, Amount::covering(0.0, 1.5));
 }
 
+/// What can't be granted now is no reason to hold room on machines back from other teams.
+#[test]
+fn no_more_is_asked_for_than_others_leave() {
+    let mut scene = Scene::new(9, Some(5), Some(held_by_other(5, 10.0)));
+    scene.synced();
+    let limits = scene.share.config.deployment.teams[0].clone();
+    let need = Resources { gpus: 1.0, ..Resources::default() };
+    let mut usage = scene.usage();
+    assert_eq!(usage.room_in_limit(&limits, &need, 16), 6, "of 16 others hold 10");
+    assert_eq!(usage.room_in_grant(&limits, &need, 6, false), 0);
+    let (waiting, next) = usage.lacking(&RED.into());
+    assert_eq!((waiting, next), (Amount::covering(0.0, 6.0), Amount::covering(0.0, 1.0)));
+    assert_eq!(usage.room_in_grant(&limits, &need, 6, true), 0, "a gang starts whole");
+}
+
 /// What others may have started counts up to what is granted to them, however much it might be.
 #[test]
 fn what_is_not_known_counts_up_to_what_was_granted() {
