--- a/src/core/team_grants.rs
+++ b/src/core/team_grants.rs
@@ -38,7 +38,8 @@
 pub struct GrantWrite {
     team: Team,
     term: Term,
-    /// None if it removes the record, or gives the grant back as the team goes.
+    /// Whether the holder waits for the outcome; it does not if the record is removed, or the grant
+    /// given back as the team goes.
     proposed: bool,
     write: Write,
 }
