--- a/src/core/team_grants/tests.rs
+++ b/src/core/team_grants/tests.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 
 const RED: &str = "red";
+const FEATURES: &str = "[quota_ledger]\nenabled = true\nheadroom = 0.125\ngive_back_leases = 1.0\n";
 
 fn config() -> Config {
     config_with_limit(16.0)
@@ -25,7 +26,7 @@
     let limited = format!("teams = [{{ name = \"red\", gpus = 4.0, gpus_max = {gpus:?} }}]");
     let text = crate::config::TEST_SETTINGS.replace(r#"teams = [{ name = "red" }]"#, &limited);
     let mut config = Config::parse(&text).unwrap();
-    config.features = Features::parse(include_str!("../../../deploy/features.toml")).unwrap();
+    config.features = Features::parse(FEATURES).unwrap();
     config
 }
 
