Second reading of shared team limits: one commit of a grant, one look-up of a team's limits

Found on reading the change again, behaviour unchanged: - write_record and remove_record of team_grants ended in the same transaction; now in commit_grant. - a team's limits were looked up in the settings in two places (schedule::limits, new_team_grant); now Config::team_limits. - Holder copied the record in every round, also when nobody's grant had ended; now only when one has. What a grant lacks is no longer computed for teams that do without a record. Holder::is_member, called by nobody, is gone. - the stand-in workers of the loopback tests each spelled out a report; now one empty_report. The status's path and form are named once (status::PATH, status::JSON).

--- a/crates/quota-ledger/src/holder.rs
+++ b/crates/quota-ledger/src/holder.rs
@@ -112,11 +112,6 @@
         self.in_doubt.take_if(|in_doubt| in_doubt.guard != version);
     }
 
-    /// Whether there is a record with a grant for this holder.
-    pub fn is_member(&self) -> bool {
-        self.ledger.as_ref().is_some_and(|ledger| ledger.grant(&self.id).is_some())
-    }
-
     /// The record as it is known.
     pub fn ledger(&self) -> Option<&TeamLedger> {
         self.ledger.as_ref()
@@ -214,17 +209,18 @@
 
     /// The record with the grants of those who have ended in this holder's; None if there are none.
     fn absorbed(&self, ledger: &TeamLedger, demand: &Demand) -> Option<TeamLedger> {
-        let joined = ledger.join(&self.id);
         let inherited = self.limit.limited(&demand.inherited);
         match &demand.ended {
             Ended::Nobody => None,
             Ended::These(former) => {
                 let named = former.iter().any(|former| ledger.grant(former).is_some());
-                named.then(|| joined.absorb(&self.id, former, inherited).ok())?
+                let absorb = || ledger.join(&self.id).absorb(&self.id, former, inherited).ok();
+                named.then(absorb)?
             }
             Ended::AllOthers => {
                 let others = !ledger.outstanding(&self.id).is_zero();
-                others.then(|| joined.absorb_all(&self.id, inherited).ok())?
+                let absorb = || ledger.join(&self.id).absorb_all(&self.id, inherited).ok();
+                others.then(absorb)?
             }
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -223,6 +223,11 @@
         self.siblings.len() + 1
     }
 
+    /// A team's guarantee and limit, if the settings name it.
+    pub fn team_limits(&self, team: &Team) -> Option<&TeamLimits> {
+        self.deployment.teams.iter().find(|limits| limits.name == *team)
+    }
+
     /// The tightest objective on a class's starts, if it has one.
     pub fn wait_objective(&self, class: &str) -> Option<f64> {
         self.objective("wait", class)
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -90,7 +90,7 @@
 }
 
 pub fn limits<'a>(config: &'a Config, spec: &JobSpec) -> Option<&'a TeamLimits> {
-    config.deployment.teams.iter().find(|team| team.name == spec.team)
+    config.team_limits(&spec.team)
 }
 
 impl Owner {
--- a/src/core/team_grants.rs
+++ b/src/core/team_grants.rs
@@ -16,7 +16,7 @@
 use super::{StateCall, StateReply};
 use crate::config::{Config, TeamLimits};
 use crate::ids::{Node, Team, Term, Version};
-use crate::wire::{Transaction, Write};
+use crate::wire::{Guard, Transaction, Write};
 use quota_ledger::{Amount, Demand, Ended, Holder, HolderId, Limit, Outcome, Proposal};
 use std::collections::BTreeSet;
 
@@ -129,8 +129,7 @@
 impl Owner {
     /// A team is ours: its grant, if it has a limit and grants are on.
     pub(super) fn new_team_grant(&self, team: &Team, term: Term) -> Option<TeamGrant> {
-        let limits = self.config.deployment.teams.iter().find(|limits| limits.name == *team)?;
-        TeamGrant::new(&self.config, limits, self.incarnation, term)
+        TeamGrant::new(&self.config, self.config.team_limits(team)?, self.incarnation, term)
     }
 
     /// Takes up what the view shows of the records of all our teams.
@@ -156,16 +155,16 @@
             let Some(team) = self.teams.get_mut(&name) else { continue };
             let settled = team.unsettled.is_empty() && usage.is_known(&name);
             let Some(grant) = &mut team.grant else { continue };
-            let (used, inherited) = usage.under_grants(&name);
-            let (waiting, next) = usage.lacking(&name);
-            let ended = if settled { Ended::AllOthers } else { Ended::Nobody };
-            let demand = Demand { used, waiting, next, ended, inherited };
             if grant.refused {
                 if let Some(version) = view.ledger(&name).map(|stored| stored.version) {
                     self.remove_record(io, view, &name, version);
                 }
                 continue;
             }
+            let (used, inherited) = usage.under_grants(&name);
+            let (waiting, next) = usage.lacking(&name);
+            let ended = if settled { Ended::AllOthers } else { Ended::Nobody };
+            let demand = Demand { used, waiting, next, ended, inherited };
             let Some(proposal) = grant.next_write(io.now, &demand) else { continue };
             self.write_record(io, view, &name, &proposal, true);
         }
@@ -208,6 +207,10 @@
             guards.push(guard(&teams_key(), teams_version(view)));
         }
         let pending = GrantWrite { team: name.clone(), term: team.term(), proposed, write };
+        self.commit_grant(io, guards, pending);
+    }
+
+    fn commit_grant(&mut self, io: &mut Io, guards: Vec<Guard>, pending: GrantWrite) {
         let transaction = Transaction { guards, writes: vec![pending.write.clone()] };
         self.record_rate.take(io.now);
         io.state(Pending::Grant(pending), StateCall::Commit(transaction));
@@ -224,9 +227,7 @@
         let guards = vec![guard(&key, version), guard(&teams_key(), teams_version(view))];
         let write = Write::Delete { key };
         let pending = GrantWrite { team: name.clone(), term, proposed: false, write };
-        let transaction = Transaction { guards, writes: vec![pending.write.clone()] };
-        self.record_rate.take(io.now);
-        io.state(Pending::Grant(pending), StateCall::Commit(transaction));
+        self.commit_grant(io, guards, pending);
     }
 
     /// The answer to a write of a record.
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,15 +1,13 @@
 //! The operators' commands: they ask a running controller and print what it answers.
 
 use crate::http::{Client, Failure};
-use crate::status::{PATH, Status};
+use crate::status::{JSON, PATH, Status};
 use hyper::Method;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// How long an answer is waited for.
 const DEADLINE: Duration = Duration::from_secs(5);
-/// The form of answers.
-pub const JSON: &str = "application/json";
 
 /// Why an operator gets no answer.
 #[derive(Debug, thiserror::Error)]
--- a/src/status.rs
+++ b/src/status.rs
@@ -7,6 +7,8 @@
 
 /// Where it is served.
 pub const PATH: &str = "/status/v1";
+/// The form of answers.
+pub const JSON: &str = "application/json";
 
 /// What one controller knows.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
--- a/tests/loopback/fleet.rs
+++ b/tests/loopback/fleet.rs
@@ -1,12 +1,13 @@
 //! Workers that follow the controllers, end their tasks by themselves, keep to their leases, and keep one
 //! history of what truly ran.
 
+use super::worker::empty_report;
 use super::{BOUNDS, listen};
 use hyper::body::Incoming;
 use hyper::{Method, Request};
 use ochredrum::front::MESSAGE_PACK;
 use ochredrum::http::{Client, Reply, read_body, reply, serve};
-use ochredrum::ids::{Attempt, Term};
+use ochredrum::ids::{Attempt, MachineId, Term};
 use ochredrum::wire::{
     BODY_LIMIT, DirectOrders, Exit, Order, Report, ReportAnswer, ReportedTask, TaskState, decode,
     encode,
@@ -71,7 +72,7 @@
 }
 
 struct Machine {
-    name: String,
+    id: MachineId,
     address: SocketAddr,
     session: u64,
     sequence: u64,
@@ -92,17 +93,13 @@
             why: running.why,
             saved: None,
         });
+        let (session, seq, token) = (self.session, self.sequence, self.token);
         Report {
-            machine: self.name.as_str().into(),
-            address: self.address.to_string(),
-            type_name: "g8".into(),
-            zone: "a".into(),
-            spot: false,
-            session: self.session,
-            seq: self.sequence,
-            token: self.token,
-            notice_s: None,
+            session,
+            seq,
+            token,
             tasks: tasks.collect(),
+            ..empty_report(&self.id, self.address)
         }
     }
 
@@ -166,8 +163,9 @@
     let mut listed = Vec::new();
     for number in 1..=machines {
         let (listener, address) = listen().await;
+        let id = MachineId::from(format!("m-{number:06}"));
         let machine = Rc::new(RefCell::new(Machine {
-            name: format!("m-{number:06}"),
+            id: id.clone(),
             address,
             session: 1,
             sequence: 0,
@@ -177,7 +175,7 @@
             tasks: BTreeMap::new(),
             history: history.clone(),
         }));
-        listed.push(serde_json::json!({"nameId": format!("m-{number:06}"), "address":
+        listed.push(serde_json::json!({"nameId": id, "address":
             address.to_string(), "breed": "g8", "yard": "a", "loaners": false, "stance": "running",
             "heldS": 600.0}));
         let taking = machine.clone();
--- a/tests/loopback/team_limits.rs
+++ b/tests/loopback/team_limits.rs
@@ -9,6 +9,7 @@
 use hyper::Method;
 use ochredrum::front::MESSAGE_PACK;
 use ochredrum::http::Client;
+use ochredrum::status::{JSON, PATH, Status};
 use ochredrum::wire::encode;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -102,7 +103,7 @@
         Command::new(program).arg("status").args(arguments).output().unwrap()
     };
     let address = deployment.mesh_of(1).to_string();
-    let mesh = Client::new(deployment.mesh_of(1), "application/json", 1);
+    let mesh = Client::new(deployment.mesh_of(1), JSON, 1);
     until_reached(&mesh).await;
     let table = status(&["--address", &address]);
     let text = String::from_utf8_lossy(&table.stdout).into_owned();
@@ -110,7 +111,7 @@
     let began = Instant::now();
     let json = loop {
         let json = status(&["--address", &address, "--json"]);
-        let json: ochredrum::status::Status = serde_json::from_slice(&json.stdout).unwrap();
+        let json: Status = serde_json::from_slice(&json.stdout).unwrap();
         // It may have been killed last, and still be reading what there is.
         if json.teams[0].grants_kept_since.is_some() {
             break json;
@@ -130,7 +131,7 @@
 /// Waits until a controller that has just been started answers.
 async fn until_reached(mesh: &Client) {
     let began = Instant::now();
-    while mesh.send(Method::GET, "/status/v1", Vec::new(), WAIT).await.is_err() {
+    while mesh.send(Method::GET, PATH, Vec::new(), WAIT).await.is_err() {
         assert!(began.elapsed() < WAIT, "nobody listens");
         tokio::time::sleep(ROUND).await;
     }
--- a/tests/loopback/worker.rs
+++ b/tests/loopback/worker.rs
@@ -44,6 +44,22 @@
     listening: AbortHandle,
 }
 
+/// The first report of a machine that holds nothing.
+pub fn empty_report(machine: &MachineId, address: SocketAddr) -> Report {
+    Report {
+        machine: machine.clone(),
+        address: address.to_string(),
+        type_name: "g8".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq: 1,
+        token: Term(0),
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
 impl Machine {
     fn report(&mut self) -> Report {
         self.sequence += 1;
@@ -54,17 +70,13 @@
             why: (*state == TaskState::Exited).then_some(Exit::Stopped),
             saved: None,
         });
+        let (session, seq, token) = (1, self.sequence, self.token);
         Report {
-            machine: self.id.clone(),
-            address: self.address.to_string(),
-            type_name: "g8".into(),
-            zone: "a".into(),
-            spot: false,
-            session: 1,
-            seq: self.sequence,
-            token: self.token,
-            notice_s: None,
+            session,
+            seq,
+            token,
             tasks: tasks.collect(),
+            ..empty_report(&self.id, self.address)
         }
     }
 
