A starved opportunistic job keeps its ordinary machine until it ends

Cause: opportunistic work keeps spot machines only. An ordinary machine that was rented since a job had starved was closed a boot and a fetch later under the job's tasks, and the job starved again: 0 of 6 tasks of 20 s done after 480 s of the runner, with and without grants. Change: a job that has starved is marked as such, and one ordinary machine on which it runs is kept for it, unless it runs on a spot machine or on a machine that is kept for another such job.

--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -59,6 +59,8 @@
     pub began: bool,
     /// Since when rounds of placement have found no room for some of it.
     pub waits_since: Option<Time>,
+    /// Opportunistic work that has waited for so long that it keeps a machine of its own until it ends.
+    pub starved: bool,
 }
 
 impl Job {
@@ -99,6 +101,7 @@
             refused_bytes: usize::MAX,
             began: false,
             waits_since: None,
+            starved: false,
         }
     }
 
--- a/src/core/opportunistic.rs
+++ b/src/core/opportunistic.rs
@@ -13,6 +13,7 @@
 use crate::config::Config;
 use crate::ids::MachineId;
 use crate::wire::{JobSpec, MachineType, Priority};
+use std::collections::BTreeSet;
 
 /// A rental pays off up to this many times the lowest price that the task could run for.
 const PRICE_MARGIN: f64 = 1.5;
@@ -80,6 +81,23 @@
 }
 
 impl Owner {
+    /// Ordinary machines that are kept for starved jobs: one for each that runs nowhere else. Returned
+    /// under such a job, it would be rented again only once the job had starved again, so that a job of
+    /// long tasks would never end.
+    pub(super) fn machines_of_starved_jobs(&self) -> BTreeSet<MachineId> {
+        let is_spot = |id: &MachineId| self.machines.get(id).is_some_and(|machine| machine.spot);
+        let mut kept = BTreeSet::new();
+        let starved = self.jobs.iter().filter(|(_, job)| job.starved && job.placed() > 0);
+        for (id, _) in starved {
+            let machines = self.task_index.machines_of(id);
+            let provided = |id: &MachineId| is_spot(id) || kept.contains(id);
+            if !machines.iter().any(provided) {
+                kept.extend(machines.into_iter().next());
+            }
+        }
+        kept
+    }
+
     /// Stops the opportunistic work of a machine that is to be returned; what can't save its progress
     /// runs to its end.
     pub(super) fn return_from_opportunistic(&mut self, id: &MachineId) {
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -16,7 +16,7 @@
 use super::schedule::limits;
 use super::view::View;
 use crate::config::Config;
-use crate::ids::{MachineId, Team, Term, TypeName, Zone};
+use crate::ids::{JobId, MachineId, Team, Term, TypeName, Zone};
 use crate::wire::{MachineType, Priority};
 use serde::{Deserialize, Serialize};
 
@@ -127,6 +127,7 @@
 
 /// Waiting tasks of an opportunistic job.
 struct OpportunisticDemand {
+    job: JobId,
     wanted: Wanted,
     /// See [`unserved`].
     unserved_s: Time,
@@ -210,7 +211,7 @@
 
     /// What opportunistic work finds no room for, as far as machines are worth renting for it.
     fn plan_opportunistic(
-        &self,
+        &mut self,
         plan: &mut Plan,
         demand: Vec<OpportunisticDemand>,
         types: &[MachineType],
@@ -223,8 +224,12 @@
         let mut rentals = rentals_worth(types, busy.sum());
         let patience = self.config.deployment.workers.cancel_s * STARVED_CANCEL_TIMES;
         let without_machines = !self.has_machines();
-        for OpportunisticDemand { wanted, unserved_s } in demand {
-            let starved = without_machines || unserved_s > patience;
+        for OpportunisticDemand { job, wanted, unserved_s } in demand {
+            let out_of_patience = unserved_s > patience;
+            if let Some(job) = self.jobs.get_mut(&job) {
+                job.starved |= out_of_patience;
+            }
+            let starved = without_machines || out_of_patience;
             if starved {
                 rentals = rentals.max(1);
             }
@@ -253,7 +258,7 @@
             let wanted = Wanted { spec, count, zones, avoided, urgency, spares_gpus };
             if job.is_opportunistic(&self.config) {
                 let unserved_s = unserved(job, now);
-                demand.opportunistic.push(OpportunisticDemand { wanted, unserved_s });
+                demand.opportunistic.push(OpportunisticDemand { job: id, wanted, unserved_s });
             } else {
                 demand.pressing.push(wanted);
             }
@@ -270,6 +275,7 @@
     /// opened again if they are needed before the leader has taken them.
     fn spare(&mut self, bins: &[Bin], catalog: &Catalog, now: Time, need: &mut Need) {
         let mut emptied = Vec::new();
+        let kept_for_starved = self.machines_of_starved_jobs();
         for bin in bins {
             let Some(machine) = bin.machine.as_ref().and_then(|id| self.machines.get_mut(id))
             else {
@@ -280,8 +286,9 @@
             let idle = machine.idle();
             let spare = machine.trusted && machine.holds_only_opportunistic() && !bin.used;
             machine.emptying &= !bin.planned && !idle;
-            // Opportunistic work keeps spot machines only.
+            // Opportunistic work keeps spot machines only, and what was rented since a job was starved.
             let filled = machine.spot && (bin.fills_up || !idle);
+            let filled = filled || kept_for_starved.contains(&machine.id);
             let closed = spare && !filled && now - machine.idle_since > patience;
             self.changed |= machine.releasing && !closed;
             machine.releasing = closed;
