Failures of controllers are measured: fifteen kinds, and pairs of them seconds apart

Need: nobody knew what a failed controller costs, by kind, nor which pairs of failures end tasks on well machines. Change: the runner cuts connections in one direction, by silence, refusal and reset, plays overloaded controllers and counts tasks that end with the leases of well machines. tests/failures plays each kind with three and five controllers, and all pairs of five kinds. Core::suspects tells what a controller thinks of a sibling; the core decides as before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -289,6 +289,11 @@
         self.leader.is_some() && self.authority.entitled(now)
     }
 
+    /// Whether a sibling that was heard once has not answered lately.
+    pub fn suspects(&self, sibling: &Node, now: Time) -> bool {
+        self.peers.suspects(sibling, now)
+    }
+
     /// The teams for which this controller can start tasks: it is entitled to, and has machines.
     pub fn teams(&self, now: Time) -> Vec<Team> {
         let owner = self.owner.as_ref().filter(|_| self.authority.entitled(now));
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -166,6 +166,12 @@
         self.peers.get(node).is_some_and(|peer| now - peer.heard < self.recent)
     }
 
+    /// Whether a sibling that has answered once has not answered lately.
+    pub fn suspects(&self, node: &Node, now: Time) -> bool {
+        let heard = self.peers.get(node).is_some_and(|peer| peer.heard.is_finite());
+        heard && !self.hears(node, now)
+    }
+
     /// A sibling that can read the state service.
     pub fn with_state(&self, now: Time) -> Option<&Node> {
         let usable = |peer: &Peer| peer.has_state && now - peer.heard < self.recent;
--- /dev/null
+++ b/tests/failures/pairs.rs
@@ -0,0 +1,61 @@
+//! Two of five controllers fail seconds apart: the owner of the busiest share and another, which may lead or
+//! be about to take over.
+
+use super::measure::{Failure, before_failure, busiest_owner, follow};
+use super::table::seeds;
+use crate::world::CutManner;
+
+const CONTROLLERS: usize = 5;
+const FAILURES: [Failure; 5] = [
+    Failure::Ends,
+    Failure::StandsStill(20.0),
+    Failure::CutFromWorkers(CutManner::Silent),
+    Failure::RefusedAlone,
+    Failure::CutFromStateAndSiblings,
+];
+/// Seconds between the two.
+const APART_S: [f64; 4] = [2.0, 3.5, 5.0, 8.0];
+
+/// One play: tasks that were lost, and rules that were broken.
+fn play_pair(
+    seed: u64,
+    pair: (Failure, Failure),
+    apart: f64,
+    other: usize,
+) -> (usize, Vec<String>) {
+    let (mut world, fails_at) = before_failure(seed, CONTROLLERS);
+    let owner = busiest_owner(&world);
+    let second = (owner + other) % CONTROLLERS;
+    pair.0.happen(&mut world, fails_at, owner);
+    pair.1.happen(&mut world, fails_at + apart, second);
+    let measured = follow(&mut world, fails_at, owner);
+    (measured.lost, measured.broken)
+}
+
+#[test]
+fn two_of_five_that_fail_seconds_apart() {
+    let (mut broken, mut plays, mut with_loss, mut tasks) = (Vec::new(), 0, 0, 0);
+    for first in FAILURES {
+        for second in FAILURES {
+            let mut lost = Vec::new();
+            for apart in APART_S {
+                for seed in seeds() {
+                    for other in 1..CONTROLLERS {
+                        let (tasks, rules) = play_pair(seed, (first, second), apart, other);
+                        lost.push(tasks);
+                        let named = |rule| format!("{first:?}, {apart} s, {second:?}: {rule}");
+                        broken.extend(rules.into_iter().map(named));
+                    }
+                }
+            }
+            let losing = lost.iter().filter(|lost| **lost > 0).count();
+            let sum: usize = lost.iter().sum();
+            plays += lost.len();
+            with_loss += losing;
+            tasks += sum;
+            println!("| {first:?} | {second:?} | {losing} of {} plays | {sum} tasks |", lost.len());
+        }
+    }
+    println!("{with_loss} of {plays} plays lost tasks, {tasks} in all");
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- /dev/null
+++ b/tests/failures/table.rs
@@ -0,0 +1,82 @@
+//! Each kind of failure of the busiest share's owner.
+
+use super::measure::{Failure, Measured, before_failure, busiest_owner, follow};
+use crate::world::{CutManner, Direction};
+
+/// All kinds that are measured, by name.
+const FAILURES: [(&str, Failure); 15] = [
+    ("ends", Failure::Ends),
+    ("ends, back after 0.3 s", Failure::Restarts(0.3)),
+    ("ends, back after 5 s", Failure::Restarts(5.0)),
+    ("stands still 3 s", Failure::StandsStill(3.0)),
+    ("stands still 7 s", Failure::StandsStill(7.0)),
+    ("stands still 25 s", Failure::StandsStill(25.0)),
+    ("stands still 60 s", Failure::StandsStill(60.0)),
+    ("cut from workers, silent", Failure::CutFromWorkers(CutManner::Silent)),
+    ("cut from workers, refused", Failure::CutFromWorkers(CutManner::Refused)),
+    ("cut from workers, reset", Failure::CutFromWorkers(CutManner::Reset)),
+    ("refused alone", Failure::RefusedAlone),
+    ("cut from state and siblings", Failure::CutFromStateAndSiblings),
+    ("outgoing cut", Failure::OneDirection(Direction::Outgoing)),
+    ("incoming cut", Failure::OneDirection(Direction::Incoming)),
+    ("four times slower", Failure::Slow(0.2)),
+];
+
+/// The seeds that are played: few in CI, others by hand with `FAILURE_SEEDS=from-to`.
+pub fn seeds() -> std::ops::RangeInclusive<u64> {
+    let seeds = std::env::var("FAILURE_SEEDS").unwrap_or_else(|_| "1-2".into());
+    let (from, to) = seeds.split_once('-').expect("FAILURE_SEEDS=from-to");
+    from.parse().expect("a number")..=to.parse().expect("a number")
+}
+
+/// Median and largest of the times that there are, and how many there are of all.
+fn spread(times: impl Iterator<Item = Option<f64>>) -> String {
+    let all: Vec<Option<f64>> = times.collect();
+    let mut times: Vec<f64> = all.iter().flatten().copied().collect();
+    if times.is_empty() {
+        return "-".into();
+    }
+    times.sort_by(f64::total_cmp);
+    let (median, largest) = (times[times.len() / 2], times[times.len() - 1]);
+    let part = if times.len() < all.len() {
+        format!(" ({}/{})", times.len(), all.len())
+    } else {
+        String::new()
+    };
+    format!("{median:.1} / {largest:.1}{part}")
+}
+
+fn row(name: &str, controllers: usize, measured: &[Measured]) -> String {
+    let of = |time: fn(&Measured) -> Option<f64>| spread(measured.iter().map(time));
+    let lost: Vec<usize> = measured.iter().map(|m| m.lost).collect();
+    format!(
+        "| {name} | {controllers} | {} | {} | {} | {} | {} of {} plays, {} tasks |",
+        of(|m| m.noticed),
+        of(|m| m.released),
+        of(|m| m.handed_on),
+        of(|m| m.started),
+        lost.iter().filter(|lost| **lost > 0).count(),
+        lost.len(),
+        lost.iter().sum::<usize>(),
+    )
+}
+
+#[test]
+fn each_kind_of_failure_of_one_controller() {
+    let mut broken = Vec::new();
+    for controllers in [3, 5] {
+        for (name, failure) in FAILURES {
+            let measured = seeds().map(|seed| {
+                let (mut world, fails_at) = before_failure(seed, controllers);
+                let owner = busiest_owner(&world);
+                failure.happen(&mut world, fails_at, owner);
+                follow(&mut world, fails_at, owner)
+            });
+            let measured: Vec<Measured> = measured.collect();
+            println!("{}", row(name, controllers, &measured));
+            let rules = measured.iter().flat_map(|m| &m.broken);
+            broken.extend(rules.map(|rule| format!("{name}, {controllers}: {rule}")));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/tests/script/mod.rs
+++ b/tests/script/mod.rs
@@ -6,10 +6,13 @@
 //! `old` (all controllers begin with the version before), `machines N`, `spot N`,
 //! `without_gpus N` (there is a second kind of machine, without GPUs), `at T WHAT …`,
 //! `until T`. `at T expect JOB running` makes sure that troubles meet; `at T next_orders MACHINE FATE …`
-//! says what happens to the next direct messages to a machine.
+//! says what happens to the next direct messages to a machine. `at T cut WHO FROM SECONDS [hold|refused|reset] [in|out]`
+//! cuts connections, silently unless it says how, in one direction if it names one; `at T slow WHO PAUSE SECONDS` gives a
+//! controller a turn only every `PAUSE` seconds.
 
 use super::world::{
-    Event, FAILS_AT_ONCE, Fault, Limits, MapFault, OrderFate, UpgradeOrder, Who, World,
+    CutManner, Direction, Event, FAILS_AT_ONCE, Fault, Limits, MapFault, OrderFate, UpgradeOrder,
+    Who, World,
 };
 use ochredrum::ids::{Image, Team};
 use ochredrum::wire::{JobSpec, Kind, Priority};
@@ -128,6 +131,26 @@
     }
 }
 
+/// `hold`, `refused` or `reset`; else what is sent is lost without notice.
+fn cut_manner(words: &[&str]) -> CutManner {
+    match words.iter().find(|word| !matches!(**word, "in" | "out")) {
+        None => CutManner::Silent,
+        Some(&"hold") => CutManner::Held,
+        Some(&"refused") => CutManner::Refused,
+        Some(&"reset") => CutManner::Reset,
+        Some(other) => panic!("manner {other:?}?"),
+    }
+}
+
+/// `in`: what is sent to the one that is cut off; `out`: what it sends; else both.
+fn direction(words: &[&str]) -> Direction {
+    match words.iter().find(|word| matches!(**word, "in" | "out")) {
+        Some(&"in") => Direction::Incoming,
+        Some(_) => Direction::Outgoing,
+        None => Direction::Both,
+    }
+}
+
 fn fault(words: &[&str]) -> Fault {
     let rest = &words[1..];
     match words[0] {
@@ -143,7 +166,13 @@
             who: who(rest[0]),
             from: who(rest[1]),
             seconds: number(rest.get(2)),
-            hold: rest.get(3) == Some(&"hold"),
+            manner: cut_manner(&rest[3.min(rest.len())..]),
+            direction: direction(&rest[3.min(rest.len())..]),
+        },
+        "slow" => Fault::Slow {
+            who: who(rest[0]),
+            pause: number(rest.get(1)),
+            seconds: number(rest.get(2)),
         },
         "machine_dies" => Fault::MachineDies { which: number(rest.first()) as usize },
         "machine_cut" => Fault::MachineCut {
--- a/tests/world/controllers.rs
+++ b/tests/world/controllers.rs
@@ -1,6 +1,6 @@
 //! Controllers: what reaches them, and what they ask of others.
 
-use super::faults::Who;
+use super::faults::{CutManner, Who};
 use super::settings::{grants_on, settings};
 use super::{Event, LEASE_S, World, old, users};
 use ochredrum::config::Config;
@@ -96,6 +96,17 @@
         })
     }
 
+    /// Whether a controller that runs, other than `node`, suspects it to have failed.
+    pub fn is_suspected(&self, node: usize) -> bool {
+        let name = Node::from(format!("n{node}"));
+        let others = (0..self.nodes.len()).filter(|other| *other != node);
+        let mut running = others.filter(|other| self.now >= self.nodes[*other].frozen_until);
+        running.any(|other| {
+            let core = self.nodes[other].core.as_ref();
+            core.is_some_and(|core| core.suspects(&name, self.clock(other)))
+        })
+    }
+
     pub(super) fn ask_node(&mut self, node: usize, asker: Asker, input: Input) {
         if self.nodes[node].core.is_none() {
             return self.answer_asker(node, asker, None, None);
@@ -272,15 +283,36 @@
             self.after(delay, event);
             return self.after(deadline, Event::Input { node, epoch, input: lost });
         }
-        match self.net.held_until(&from, &to) {
-            Some(end) if self.rng.random_bool(0.5) => {
-                self.at(end + 0.01, event);
+        match self.net.kept_from(&from, &to) {
+            Some(CutManner::Refused) => {
+                let delay = self.latency();
+                self.after(delay, Event::Input { node, epoch, input: unsent });
+            }
+            Some(CutManner::Reset) => {
+                let delay = self.latency();
+                self.after(delay, Event::Input { node, epoch, input: lost });
+            }
+            Some(CutManner::Held) if self.rng.random_bool(0.5) => {
+                if let Some(end) = self.net.held_until(&from, &to) {
+                    self.at(end + 0.01, event);
+                }
                 self.after(deadline, Event::Input { node, epoch, input: lost });
             }
             _ => self.after(deadline, Event::Input { node, epoch, input: unsent }),
         }
     }
 
+    /// An overloaded process gets a turn only now and then.
+    pub(super) fn pause_if_slow(&mut self, node: usize, epoch: u64) {
+        if let Some(pause) = self.net.slow(node)
+            && self.now >= self.nodes[node].frozen_until
+        {
+            let until = self.now + pause;
+            self.nodes[node].frozen_until = self.nodes[node].frozen_until.max(until);
+            self.at(until, Event::Thaw { node, epoch });
+        }
+    }
+
     pub(super) fn latency(&mut self) -> f64 {
         if self.rng.random_bool(0.01) {
             self.rng.random_range(0.05..0.4)
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -45,7 +45,14 @@
         who: Who,
         from: Who,
         seconds: f64,
-        hold: bool,
+        manner: CutManner,
+        direction: Direction,
+    },
+    /// The process takes a turn only every `pause` seconds, as on an overloaded host.
+    Slow {
+        who: Who,
+        pause: f64,
+        seconds: f64,
     },
     MachineDies {
         which: usize,
@@ -186,12 +193,34 @@
     Late,
 }
 
+/// What happens to a message that a cut concerns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutManner {
+    /// It is lost, and its sender waits.
+    Silent,
+    /// Some are delivered when the cut ends.
+    Held,
+    /// The connection is refused at once.
+    Refused,
+    /// The connection breaks at once, so that the sender does not know whether it was delivered.
+    Reset,
+}
+
+/// Which messages a cut concerns, seen from the one that is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    Both,
+    Outgoing,
+    Incoming,
+}
+
 #[derive(PartialEq)]
 enum Kind {
     Outage,
     CloudOutage,
     Refuse(usize),
-    Cut { a: Who, b: Who, hold: bool },
+    Cut { a: Who, b: Who, manner: CutManner, direction: Direction },
+    Slow { node: usize, pause: f64 },
     Deaf(MachineId),
     Faulty(MachineId),
     Mute(MachineId),
@@ -227,7 +256,7 @@
         self.faults.retain(|(other, _, _)| *other != id);
     }
 
-    fn cut_between(&self, from: &Who, to: &Who) -> Option<(f64, bool)> {
+    fn cut_between(&self, from: &Who, to: &Who) -> Option<(f64, CutManner)> {
         let covers = |group: &Who, who: &Who, other: &Who| match group {
             Who::Everyone => who != other,
             Who::Workers => matches!(who, Who::Machine(_)),
@@ -236,11 +265,15 @@
             one => one == who,
         };
         self.faults.iter().find_map(|(_, until, kind)| match kind {
-            Kind::Cut { a, b, hold }
-                if (covers(a, from, to) && covers(b, to, from))
-                    || (covers(b, from, to) && covers(a, to, from)) =>
+            Kind::Cut { a, b, manner, direction }
+                if (covers(a, from, to)
+                    && covers(b, to, from)
+                    && *direction != Direction::Incoming)
+                    || (covers(b, from, to)
+                        && covers(a, to, from)
+                        && *direction != Direction::Outgoing) =>
             {
-                Some((*until, *hold))
+                Some((*until, *manner))
             }
             _ => None,
         })
@@ -252,7 +285,21 @@
 
     /// When what is sent now will be delivered, if the cut holds packets.
     pub fn held_until(&self, from: &Who, to: &Who) -> Option<f64> {
-        self.cut_between(from, to).filter(|(_, hold)| *hold).map(|(until, _)| until)
+        let held = self.cut_between(from, to).filter(|(_, manner)| *manner == CutManner::Held);
+        held.map(|(until, _)| until)
+    }
+
+    /// How a message is kept from its way, if it is.
+    pub fn kept_from(&self, from: &Who, to: &Who) -> Option<CutManner> {
+        self.cut_between(from, to).map(|(_, manner)| manner)
+    }
+
+    /// Seconds between the turns of a controller that is slow.
+    pub fn slow(&self, node: usize) -> Option<f64> {
+        self.faults.iter().find_map(|(_, _, kind)| match kind {
+            Kind::Slow { node: slow, pause } if *slow == node => Some(*pause),
+            _ => None,
+        })
     }
 
     pub fn deaf(&self, machine: &MachineId) -> bool {
@@ -341,6 +388,12 @@
     }
 }
 
+/// A cut of both directions.
+fn cut(a: Who, b: Who, hold: bool) -> Kind {
+    let manner = if hold { CutManner::Held } else { CutManner::Silent };
+    Kind::Cut { a, b, manner, direction: Direction::Both }
+}
+
 impl World {
     fn resolve(&self, who: &Who) -> Vec<usize> {
         match who {
@@ -394,10 +447,15 @@
                     lasting.push((seconds, Kind::Refuse(node)));
                 }
             }
-            Fault::Cut { who, from, seconds, hold } => {
+            Fault::Cut { who, from, seconds, manner, direction } => {
                 for node in self.resolve(&who) {
                     let (a, b) = (Who::Node(node), from.clone());
-                    lasting.push((seconds, Kind::Cut { a, b, hold }));
+                    lasting.push((seconds, Kind::Cut { a, b, manner, direction }));
+                }
+            }
+            Fault::Slow { who, pause, seconds } => {
+                for node in self.resolve(&who) {
+                    lasting.push((seconds, Kind::Slow { node, pause }));
                 }
             }
             Fault::MachineDies { which } => {
@@ -409,14 +467,12 @@
             }
             Fault::MachineCut { which, seconds, hold } => {
                 if let Some(machine) = self.machine_at(which) {
-                    let (a, b) = (Who::Machine(machine), Who::AllNodes);
-                    lasting.push((seconds, Kind::Cut { a, b, hold }));
+                    lasting.push((seconds, cut(Who::Machine(machine), Who::AllNodes, hold)));
                 }
             }
             Fault::MachineCutFrom { which, node, seconds } => {
                 if let Some(machine) = self.machine_at(which) {
-                    let (a, b) = (Who::Machine(machine), Who::Node(node));
-                    lasting.push((seconds, Kind::Cut { a, b, hold: false }));
+                    lasting.push((seconds, cut(Who::Machine(machine), Who::Node(node), false)));
                 }
             }
             Fault::MachineDeaf { which, seconds } => {
@@ -446,8 +502,7 @@
                     self.cloud.get(id).is_some_and(|owned| owned.zone.as_str() == zone)
                 });
                 for id in ids {
-                    let (a, b) = (Who::Machine(id.clone()), Who::AllNodes);
-                    lasting.push((seconds, Kind::Cut { a, b, hold }));
+                    lasting.push((seconds, cut(Who::Machine(id.clone()), Who::AllNodes, hold)));
                 }
             }
             Fault::Freeze { who, seconds } => {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -32,7 +32,7 @@
 use worker::Worker;
 
 pub use event::Event;
-pub use faults::{Fault, MapFault, UpgradeOrder, Who};
+pub use faults::{CutManner, Direction, Fault, MapFault, UpgradeOrder, Who};
 pub use orders::OrderFate;
 pub use settings::Limits;
 
@@ -95,6 +95,8 @@
     pub mesh_bytes: usize,
     pub largest_message: usize,
     pub orders: usize,
+    /// Tasks that ended since the leases of their workers ran out, hung ones left out.
+    pub lost_with_leases: usize,
 }
 
 impl World {
@@ -210,6 +212,7 @@
                     self.step(node, Vec::new());
                     self.copies_to_new_leader();
                     self.after(TICK_S, Event::Tick { node, epoch });
+                    self.pause_if_slow(node, epoch);
                 }
             }
             Event::Input { node, epoch, input } => {
@@ -312,6 +315,11 @@
         owner["o"]["n"].as_str().map(str::to_owned)
     }
 
+    /// The value of a key of the state service as it is stored.
+    pub fn stored(&self, key: &str) -> Option<serde_json::Value> {
+        self.state.values_under(key).next().cloned()
+    }
+
     pub fn starts(&self) -> u64 {
         self.workers.values().map(|w| w.starts).sum::<u64>() + self.users.starts_gone
     }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -1,6 +1,6 @@
 //! Workers: reports, leases, sessions, tokens, and tasks as the protocol has them.
 
-use super::faults::Who;
+use super::faults::{CutManner, Who};
 use super::{Event, FAILS_AT_ONCE, GANG_PEER_S, GANG_WAIT_S, GPUS_MAX, LEASE_S, REPORT_S, World};
 use ochredrum::core::{Answer, Body, CallId, Input, WorkerReply};
 use ochredrum::ids::{Attempt, JobId, MachineId, TaskId, Term};
@@ -123,6 +123,10 @@
             return;
         }
         if now - worker.renewed > LEASE_S {
+            if now >= worker.hung_until {
+                let lost = worker.tasks.values().filter(|task| task.on_machine());
+                self.work.lost_with_leases += lost.count();
+            }
             worker.tasks.clear();
             worker.session += 1;
             worker.renewed = now;
@@ -172,9 +176,16 @@
         if self.net.passes(me.clone(), to.clone()) {
             let delay = self.latency();
             self.after(delay, event(&report, true));
-        } else if let Some(end) = self.net.held_until(&me, &to) {
+            return;
+        }
+        if let Some(end) = self.net.held_until(&me, &to) {
             self.at(end + 0.01, event(&report, false));
         }
+        if let Some(CutManner::Refused | CutManner::Reset) = self.net.kept_from(&me, &to) {
+            let (machine, number) = (id.clone(), report.seq);
+            let delay = self.latency();
+            self.after(delay, Event::ReportAnswer { machine, number, answer: None });
+        }
     }
 
     pub(super) fn report_answered(&mut self, id: &MachineId, number: u64, answer: Option<Answer>) {
