--- /dev/null
+++ b/crates/failure-detector/tests/unit.rs
@@ -0,0 +1,185 @@
+//! Single guards of the detector and of a controller's judgement of itself.
+
+use failure_detector::{
+    Detector, Incarnation, Opinion, OwnContact, PartialFailure, Settings, SettingsError, Stage,
+};
+
+const HEARTBEAT_S: f64 = 0.5;
+const FIRST: Incarnation = Incarnation(7);
+const SECOND: Incarnation = Incarnation(3);
+
+fn settings(controllers: usize) -> Settings {
+    Settings::new(HEARTBEAT_S, 4.0, controllers).expect("valid settings")
+}
+
+/// An observer that steps twenty times a second until `until`; `answers` answer as often.
+fn advance(detector: &mut Detector<u8>, from: f64, until: f64, answers: &[u8]) {
+    let mut now = from;
+    while now < until {
+        detector.step(now);
+        for of in answers {
+            detector.heartbeat_answered(of, FIRST, now, now);
+        }
+        detector.judge(now);
+        now += 0.05;
+    }
+}
+
+fn suspicion(of: u8, incarnation: Incarnation) -> Vec<Opinion<u8>> {
+    vec![Opinion { of, incarnation: Some(incarnation), silence_s: 3.0, suspects: true }]
+}
+
+#[test]
+fn settings_are_checked() {
+    assert_eq!(Settings::new(0.0, 4.0, 3), Err(SettingsError::Heartbeat(0.0)));
+    assert!(Settings::new(f64::NAN, 4.0, 3).is_err());
+    assert_eq!(Settings::new(0.5, 1.0, 3), Err(SettingsError::Suspicion(1.0)));
+    assert_eq!(Settings::new(0.5, 4.0, 0), Err(SettingsError::NoControllers));
+}
+
+#[test]
+fn silence_is_suspected_then_confirmed_by_a_quorum_then_handed_over() {
+    let mut detector = Detector::new([1, 2, 3, 4], settings(5));
+    advance(&mut detector, 0.0, 5.0, &[1, 2, 3, 4]);
+    advance(&mut detector, 5.0, 6.5, &[2, 3, 4]);
+    assert_eq!(detector.stage(&1), Stage::Alive);
+    advance(&mut detector, 6.5, 7.2, &[2, 3, 4]);
+    assert_eq!(detector.stage(&1), Stage::Suspected);
+    detector.opinions(&2, suspicion(1, FIRST), 7.2);
+    detector.judge(7.2);
+    assert_eq!(detector.stage(&1), Stage::Suspected, "two of five are no quorum");
+    detector.opinions(&3, suspicion(1, SECOND), 7.2);
+    let changes = detector.judge(7.2);
+    assert_eq!((changes.len(), changes[0].to, changes[0].evidence.votes), (1, Stage::Confirmed, 3));
+    assert!(detector.judge(7.2).is_empty(), "told once");
+    assert!(detector.has_failed(&1) && !detector.has_failed(&2));
+    detector.stored(&1, true, true);
+    detector.judge(7.2);
+    assert_eq!(detector.stage(&1), Stage::HandedOver);
+    detector.heartbeat_answered(&1, SECOND, 7.3, 7.3);
+    detector.judge(7.3);
+    assert_eq!(detector.stage(&1), Stage::Alive, "its next process answers");
+}
+
+#[test]
+fn opinions_grow_old() {
+    let mut detector = Detector::new([1, 2], settings(3));
+    advance(&mut detector, 0.0, 5.0, &[1, 2]);
+    detector.opinions(&2, suspicion(1, FIRST), 5.0);
+    advance(&mut detector, 5.0, 7.5, &[2]);
+    assert_eq!(detector.stage(&1), Stage::Suspected, "what was said 2.5 s ago does not count");
+}
+
+#[test]
+fn a_late_answer_of_an_earlier_process_changes_nothing() {
+    let mut detector = Detector::new([1, 2], settings(3));
+    detector.step(1.0);
+    detector.heartbeat_answered(&1, SECOND, 1.0, 1.0);
+    detector.heartbeat_answered(&1, FIRST, 0.4, 1.1);
+    assert_eq!(detector.incarnation(&1), Some(SECOND));
+}
+
+#[test]
+fn an_observer_that_stood_still_suspects_nobody_for_that() {
+    let mut detector = Detector::new([1, 2], settings(3));
+    advance(&mut detector, 0.0, 5.0, &[1, 2]);
+    advance(&mut detector, 25.0, 26.0, &[]);
+    assert_eq!((detector.stage(&1), detector.stage(&2)), (Stage::Alive, Stage::Alive));
+    advance(&mut detector, 26.0, 33.0, &[2]);
+    assert_eq!((detector.stage(&1), detector.stage(&2)), (Stage::Suspected, Stage::Alive));
+}
+
+#[test]
+fn a_refuted_suspicion_makes_the_next_slower_but_not_for_ever() {
+    let mut detector = Detector::new([1, 2], settings(3));
+    let suspected_after = |detector: &mut Detector<u8>, mut now: f64| {
+        let began = now;
+        while detector.stage(&1) == Stage::Alive {
+            advance(detector, now, now + 0.04, &[2]);
+            now += 0.05;
+        }
+        now - began
+    };
+    advance(&mut detector, 0.0, 5.0, &[1, 2]);
+    let first = suspected_after(&mut detector, 5.0);
+    advance(&mut detector, 5.0 + first, 20.0, &[1, 2]);
+    let second = suspected_after(&mut detector, 20.0);
+    assert!(second > first * 1.2, "{first} {second}");
+    advance(&mut detector, 20.0 + second, 80.0, &[1, 2]);
+    let third = suspected_after(&mut detector, 80.0);
+    assert!((third - first).abs() < 0.5, "{first} {third}");
+}
+
+#[test]
+fn who_is_slow_itself_waits_longer() {
+    let mut detector = Detector::new([1, 2], settings(3));
+    advance(&mut detector, 0.0, 5.0, &[1, 2]);
+    let mut now = 5.0;
+    while now < 7.7 {
+        detector.step(now);
+        detector.judge(now);
+        now += 0.4;
+    }
+    assert_eq!(detector.stage(&1), Stage::Alive, "its own steps are 0.4 s apart");
+    while now < 12.0 {
+        detector.step(now);
+        detector.judge(now);
+        now += 0.4;
+    }
+    assert_eq!(detector.stage(&1), Stage::Suspected, "at most twelve heartbeats");
+}
+
+#[test]
+fn workers_that_left_make_suspicion_quicker() {
+    let mut detector = Detector::new([1, 2], settings(3));
+    advance(&mut detector, 0.0, 5.0, &[1, 2]);
+    detector.worker_left(&1, 6.0);
+    advance(&mut detector, 5.0, 6.8, &[2]);
+    assert_eq!(detector.stage(&1), Stage::Suspected);
+}
+
+#[test]
+fn who_hears_nobody_tells_nothing() {
+    let mut detector = Detector::new([1, 2], settings(3));
+    advance(&mut detector, 0.0, 5.0, &[1, 2]);
+    assert_eq!(detector.opinions_to_tell(5.0).len(), 2);
+    advance(&mut detector, 5.0, 9.0, &[]);
+    assert_eq!(detector.stage(&1), Stage::Suspected);
+    assert!(detector.opinions_to_tell(9.0).is_empty());
+}
+
+fn contact() -> OwnContact {
+    OwnContact {
+        report_s: 3.0,
+        key_lifetime_s: 4.9,
+        machines: 10,
+        others_heard: 4,
+        ..OwnContact::default()
+    }
+}
+
+#[test]
+fn a_cut_from_the_workers_needs_that_others_hear_them() {
+    let silent = OwnContact { workers_silent_s: 5.0, ..contact() };
+    assert_eq!(silent.partial_failure(), None, "all machines may have failed");
+    let few = OwnContact { machines_elsewhere: 4, ..silent };
+    assert_eq!(few.partial_failure(), None);
+    let most = OwnContact { machines_elsewhere: 5, ..silent };
+    assert_eq!(most.partial_failure(), Some(PartialFailure::CutFromWorkers));
+    let just_now = OwnContact { workers_silent_s: 4.0, ..most };
+    assert_eq!(just_now.partial_failure(), None, "workers report every 3 s, give or take");
+    let without = OwnContact { machines: 0, ..most };
+    assert_eq!(without.partial_failure(), None, "nobody to hear from");
+}
+
+#[test]
+fn an_outage_for_all_is_no_refusal_of_one() {
+    let refused = OwnContact { state_silent_s: 3.0, refusals: 3, ..contact() };
+    assert_eq!(refused.partial_failure(), None);
+    let others_served = OwnContact { others_served: 3, ..refused };
+    assert_eq!(others_served.partial_failure(), Some(PartialFailure::RefusedByState));
+    let half = OwnContact { others_served: 2, ..refused };
+    assert_eq!(half.partial_failure(), None, "the service may be failing for all");
+    let slow = OwnContact { refusals: 0, ..others_served };
+    assert_eq!(slow.partial_failure(), None, "no answer is no refusal");
+}
