--- a/crates/failure-detector/src/detector.rs
+++ b/crates/failure-detector/src/detector.rs
@@ -82,11 +82,17 @@
         }
     }
 
-    /// What the state service shows of a controller: whether its key has gone, and whether it owns nothing.
-    pub fn stored(&mut self, of: &C, key_gone: bool, owns_nothing: bool) {
+    /// Whether a controller's key in the state service has gone.
+    pub fn key_gone(&mut self, of: &C, gone: bool) {
         if let Some(peer) = self.peers.get_mut(of) {
-            peer.key_gone = key_gone;
-            peer.owns_nothing = owns_nothing;
+            peer.key_gone = gone;
+        }
+    }
+
+    /// Whether a controller owns nothing any more.
+    pub fn owns_nothing(&mut self, of: &C, nothing: bool) {
+        if let Some(peer) = self.peers.get_mut(of) {
+            peer.owns_nothing = nothing;
         }
     }
 
@@ -119,6 +125,11 @@
         })
     }
 
+    /// How long the answers of a controller have been missing; none of one that is not known.
+    pub fn silence(&self, of: &C, now: Seconds) -> Seconds {
+        self.peers.get(of).map_or(0.0, |peer| peer.silence(self.health.counts_from, now))
+    }
+
     /// Whether any other controller has answered lately.
     pub fn hears_any(&self, now: Seconds) -> bool {
         self.peers.keys().any(|of| self.hears(of, now))
--- a/crates/failure-detector/src/lib.rs
+++ b/crates/failure-detector/src/lib.rs
@@ -22,7 +22,7 @@
 pub use opinion::Opinion;
 pub use partial::{OwnContact, PartialFailure};
 pub use peer::{Evidence, Stage};
-pub use settings::{Settings, SettingsError};
+pub use settings::{LEAST_SUSPECT_HEARTBEATS, SUSPECT_HEARTBEATS, Settings};
 
 /// Seconds on the observer's steady clock.
 pub type Seconds = f64;
--- a/crates/failure-detector/src/partial.rs
+++ b/crates/failure-detector/src/partial.rs
@@ -5,6 +5,10 @@
 
 /// Time between two reports of a worker, at the longest, as a multiple of the usual.
 const LONGEST_REPORT_TIMES: f64 = 1.5;
+/// Time without any worker after which it is enough that some worker comes to others: so many report times,
+/// or this part of a lease if that is more.
+const LONG_SILENCE_REPORT_TIMES: f64 = 2.0;
+const LONG_SILENCE_LEASES: f64 = 0.3;
 /// Part of its machines that must be heard elsewhere.
 const ELSEWHERE_PART: f64 = 0.5;
 /// Refusals in a row, none of them answered otherwise, that are no accident.
@@ -26,6 +30,8 @@
 pub struct OwnContact {
     /// Time between two reports of a worker.
     pub report_s: Seconds,
+    /// How long a worker lives without an answer.
+    pub lease_s: Seconds,
     /// Lifetime of its key in the state service.
     pub key_lifetime_s: Seconds,
     /// Machines that it owns.
@@ -34,6 +40,8 @@
     pub workers_silent_s: Seconds,
     /// Of its machines, those whose workers were with others lately.
     pub machines_elsewhere: usize,
+    /// Whether another controller was visited lately by a worker that it sent here.
+    pub others_get_workers: bool,
     /// How long the state service has served it nothing.
     pub state_silent_s: Seconds,
     /// Refusals of the state service since it last answered in another way.
@@ -57,10 +65,16 @@
     }
 
     fn is_cut_from_workers(&self) -> bool {
-        let most = (self.machines as f64 * ELSEWHERE_PART).ceil().max(1.0);
-        self.machines > 0
-            && self.workers_silent_s > self.report_s * LONGEST_REPORT_TIMES
-            && self.machines_elsewhere as f64 >= most
+        if self.machines == 0 {
+            return false;
+        }
+        let most = (self.machines as f64 * ELSEWHERE_PART).ceil();
+        let most_elsewhere = self.machines_elsewhere as f64 >= most;
+        let missed_reports = self.workers_silent_s > self.report_s * LONGEST_REPORT_TIMES;
+        let long =
+            (self.report_s * LONG_SILENCE_REPORT_TIMES).max(self.lease_s * LONG_SILENCE_LEASES);
+        let silent_for_long = self.workers_silent_s > long;
+        (missed_reports && most_elsewhere) || (silent_for_long && self.others_get_workers)
     }
 
     fn is_refused_alone(&self) -> bool {
--- a/crates/failure-detector/src/settings.rs
+++ b/crates/failure-detector/src/settings.rs
@@ -5,8 +5,10 @@
 /// Heartbeats without an answer after which a controller is suspected. One lost message may take more than
 /// two of them, for the next is sent only once the deadline of the first is over.
 pub const SUSPECT_HEARTBEATS: f64 = 4.0;
-/// The same, if workers have left the controller as well.
-const CORROBORATED_PART: f64 = 0.75;
+/// The fewest that may be set.
+pub const LEAST_SUSPECT_HEARTBEATS: f64 = 2.0;
+/// The same as [`SUSPECT_HEARTBEATS`], if workers have left the controller as well, as a part of it.
+const CORROBORATED_PART: f64 = 0.8;
 /// However slow a controller or its observer is, it is suspected after this many heartbeats.
 const SUSPECT_HEARTBEATS_AT_MOST: f64 = 12.0;
 /// An observer whose own steps are this many heartbeats apart has stood still.
@@ -20,20 +22,6 @@
 /// Thresholds of a slow observer, and of a controller that was suspected wrongly, grow this far.
 const STRETCH_AT_MOST: f64 = 2.5;
 
-/// Why a detector can't be made.
-#[derive(Debug, PartialEq, thiserror::Error)]
-pub enum SettingsError {
-    /// The time between heartbeats is no positive number.
-    #[error("the time between heartbeats is {0} s")]
-    Heartbeat(Seconds),
-    /// Suspicion must allow for one lost message.
-    #[error("suspicion after {0} heartbeats, less than 2")]
-    Suspicion(f64),
-    /// There is nobody to watch or to agree with.
-    #[error("no controllers")]
-    NoControllers,
-}
-
 /// Thresholds of a detector.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -62,24 +50,13 @@
 }
 
 impl Settings {
-    /// Those for this many controllers, the observer among them.
-    pub fn new(
-        heartbeat_s: Seconds,
-        suspect_heartbeats: f64,
-        controllers: usize,
-    ) -> Result<Self, SettingsError> {
-        if !(heartbeat_s.is_finite() && heartbeat_s > 0.0) {
-            return Err(SettingsError::Heartbeat(heartbeat_s));
-        }
-        if !(suspect_heartbeats.is_finite() && suspect_heartbeats >= 2.0) {
-            return Err(SettingsError::Suspicion(suspect_heartbeats));
-        }
-        if controllers == 0 {
-            return Err(SettingsError::NoControllers);
-        }
+    /// Those for this many controllers, the observer among them. Fewer than [`LEAST_SUSPECT_HEARTBEATS`]
+    /// count as that many, since suspicion must allow for one lost message.
+    pub fn new(heartbeat_s: Seconds, suspect_heartbeats: f64, controllers: usize) -> Self {
+        let suspect_heartbeats = suspect_heartbeats.max(LEAST_SUSPECT_HEARTBEATS);
         let suspect_after_s = heartbeat_s * suspect_heartbeats;
         let at_most = SUSPECT_HEARTBEATS_AT_MOST / SUSPECT_HEARTBEATS;
-        Ok(Self {
+        Self {
             heartbeat_s,
             suspect_after_s,
             suspect_corroborated_after_s: suspect_after_s * CORROBORATED_PART,
@@ -91,6 +68,6 @@
             stretch_at_most: STRETCH_AT_MOST,
             quorum: controllers / 2 + 1,
             alone_tells: false,
-        })
+        }
     }
 }
--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -97,6 +97,8 @@
     /// Lapsed processes the leader wants to replace, and who has consented.
     consents: BTreeMap<Process, BTreeSet<Node>>,
     asked_since: BTreeMap<Process, Time>,
+    /// A question about a lapsed process has come up that siblings have not been asked yet.
+    has_new_question: bool,
     ended_predecessor: Option<u64>,
     /// Consents that are told in this process's key.
     stored_consents: Vec<Process>,
@@ -137,6 +139,7 @@
             revoked: BTreeSet::new(),
             consents: BTreeMap::new(),
             asked_since: BTreeMap::new(),
+            has_new_question: false,
             ended_predecessor: None,
             stored_consents: Vec::new(),
             next_stored_consents: 0.0,
@@ -272,6 +275,7 @@
             return true;
         }
         let own = self.consent(process, now).then(|| self.node.clone());
+        self.has_new_question |= !self.consents.contains_key(process);
         let asked = self.consents.entry(process.clone()).or_default();
         let stored = view.nodes().iter().filter(|(_, n)| n.record.consents.contains(process));
         let stored = stored.map(|(node, _)| node);
@@ -280,6 +284,11 @@
         consents.len() >= self.majority || (peers.authority_ends(process) && now > over)
     }
 
+    /// Whether siblings are to be asked for consents at once.
+    pub fn take_new_question(&mut self) -> bool {
+        std::mem::take(&mut self.has_new_question)
+    }
+
     /// Consents to the hand-over of processes that own something though their keys have gone, while the
     /// leader, who would ask for that, is not heard. What was told once stays told, for it holds for good.
     fn consent_unasked(&mut self, view: &View, peers: &Peers, now: Time) {
@@ -377,7 +386,7 @@
     }
 
     /// Drops everything this process owned, as a restart would.
-    fn begin_anew(&mut self, why: &str, pause: Time) {
+    pub(super) fn begin_anew(&mut self, why: &str, pause: Time) {
         tracing::info!("share lost: {why}");
         self.authority.lost(self.io.now + pause);
         if let Some(owner) = self.owner.take() {
@@ -403,18 +412,14 @@
             }
             Lease::None | Lease::Creating => {}
             Lease::Held(lease) => {
-                if !self.authority.renewing && now >= self.authority.next_renewal {
+                let due = !self.authority.renewing && now >= self.authority.next_renewal;
+                if due && !self.renews_for_nobody() {
                     self.authority.renewing = true;
                     let pending = Pending::Authority(AuthorityCall::Renew { lease, sent: now });
                     self.io.state(pending, StateCall::LeaseRenew { lease });
                 }
                 self.write_keys(lease);
-                if self.owner.is_some() && self.cut_from_workers() {
-                    let pending = Pending::Authority(AuthorityCall::End);
-                    self.io.state(pending, StateCall::LeaseEnd { lease });
-                    let pause = self.config.deployment.workers.lease_s * 2.0;
-                    self.begin_anew("workers reach siblings only", pause);
-                }
+                self.resign_if_failed_in_part(lease);
             }
         }
     }
@@ -457,6 +462,9 @@
         } else if let Some(worn) = self.leader.as_ref().filter(|leader| leader.is_worn()) {
             // Under the key's new revision there are fresh terms. It stays this process's key.
             (LEADER_KEY.to_owned(), worn.term, AuthorityCall::Claim { lease })
+        } else if let Some(version) = self.failed_leader() {
+            tracing::info!("takes over from the leader, which has failed");
+            (LEADER_KEY.to_owned(), version, AuthorityCall::Claim { lease })
         } else {
             return;
         };
@@ -467,12 +475,6 @@
         };
         self.io.state(Pending::Authority(call), StateCall::Commit(transaction));
     }
-
-    fn cut_from_workers(&self) -> bool {
-        let workers = &self.config.deployment.workers;
-        let silence = (workers.report_s * 2.0).max(workers.lease_s * 0.3);
-        self.peers.cut_from_workers(self.io.now, silence)
-    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/core/failure_detection.rs
@@ -0,0 +1,278 @@
+//! What this controller makes of its siblings' failures and of its own. The judging is done by
+//! [`failure_detector`]; here it gets its evidence, and what follows is decided:
+//!
+//! - Suspicion moves nothing. Workers are not sent to a suspected sibling ([`super::report_routing`]).
+//! - A leader whose failure is confirmed by a quorum loses the leader's key to another controller. That is safe at any
+//!   time: each write of the map is guarded by that key (link 2 of the safety argument).
+//! - A share is handed on only as link 1 allows. A controller that has failed in part ends its own
+//!   authority, so that nobody has to wait for its lease: it begins anew, and its key is removed, by itself or, if the
+//!   state service refuses it, by a sibling.
+
+use super::authority::AuthorityCall;
+use super::io::Pending;
+use super::{Core, StateCall, Time};
+use crate::ids::Node;
+use failure_detector::{Opinion, OwnContact, PartialFailure, Stage, StageChange};
+use serde::{Deserialize, Serialize};
+
+/// Part of the lifetime of a key by which a sibling's contact with the state service has to be younger than
+/// this controller's own, to show that others are served.
+const SERVED_LATER_LIFETIMES: f64 = 0.1;
+/// Report times within which a machine's worker has been with a sibling lately.
+const ELSEWHERE_REPORT_TIMES: f64 = 2.0;
+/// Lifetimes of its key after which a process that has ended has lost it: one since the last renewal, and some
+/// for that it was answered before it renewed for the last time.
+const LAPSES_LIFETIMES: f64 = 1.2;
+/// Leases for which a process that has begun anew tells that its predecessor has ended.
+const TELL_RESIGNED_LEASES: f64 = 2.0;
+/// Leases for which a controller that workers do not reach takes no share.
+const CUT_OFF_PAUSE_LEASES: f64 = 2.0;
+
+/// What a process that takes part in the detection of failures tells with every hello.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Detection {
+    /// What it thinks of its siblings.
+    #[serde(rename = "o")]
+    pub opinions: Vec<Opinion<Node>>,
+    /// How long ago the state service served it.
+    #[serde(rename = "s")]
+    pub state_age: Time,
+    /// Its predecessor, which has ended by itself though its key may still be there.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub resigned: Option<Resigned>,
+}
+
+/// A process that acts no more, and the lease on which its keys hang.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Resigned {
+    /// The process.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// Its lease in the state service.
+    #[serde(rename = "l")]
+    pub lease: u64,
+}
+
+/// What this controller keeps for the detection of failures.
+#[derive(Debug, Default)]
+pub struct FailureDetection {
+    /// Calls that the state service refused since it last answered in another way.
+    refusals: u32,
+    /// Its own predecessor that has resigned, and when.
+    resigned: Option<(Resigned, Time)>,
+    /// The lease of a resigned sibling that was ended last.
+    ended: Option<u64>,
+    /// The map of which it was looked up last who owns nothing.
+    map_seen: Option<u64>,
+}
+
+impl FailureDetection {
+    /// The state service refused a call.
+    pub fn refused(&mut self) {
+        self.refusals += 1;
+    }
+
+    /// The state service answered in another way, or not at all: that is no refusal.
+    pub fn not_refused(&mut self) {
+        self.refusals = 0;
+    }
+}
+
+impl Core {
+    /// Whether this controller acts on failures that are detected.
+    pub(super) fn acts_on_failures(&self) -> bool {
+        self.config.features.acts_on_failures()
+    }
+
+    /// Judges the siblings anew by what is known now.
+    pub(super) fn judge_siblings(&mut self) {
+        let now = self.io.now;
+        self.take_stored_evidence();
+        for change in self.peers.detector_mut().judge(now) {
+            log_change(&change);
+        }
+        if self.detection.resigned.as_ref().is_some_and(|(resigned, since)| {
+            let gone = !self.view.is_registered(&self.config.node, resigned.incarnation);
+            let over = now - since > self.config.deployment.workers.lease_s * TELL_RESIGNED_LEASES;
+            (gone && self.has_state()) || over
+        }) {
+            self.detection.resigned = None;
+        }
+    }
+
+    /// What the state service shows of the siblings: their keys, and whether the map names them.
+    fn take_stored_evidence(&mut self) {
+        if !self.view.complete() {
+            return;
+        }
+        let map_changed = self.detection.map_seen.replace(self.view.map_changes())
+            != Some(self.view.map_changes());
+        let owners = self.view.owners();
+        for sibling in &self.config.siblings {
+            let node = &sibling.node;
+            let detector = self.peers.detector_mut();
+            detector.key_gone(node, self.view.node(node).is_none());
+            if map_changed {
+                let mut all = owners.teams.values().chain(owners.machines.values());
+                detector.owns_nothing(node, all.all(|owner| owner.node != *node));
+            }
+        }
+    }
+
+    /// What siblings are told.
+    pub(super) fn own_detection(&self) -> Option<Detection> {
+        let now = self.io.now;
+        self.acts_on_failures().then(|| Detection {
+            opinions: self.peers.detector().opinions_to_tell(now),
+            state_age: self.view.state_silence(now).min(f64::MAX),
+            resigned: self.detection.resigned.as_ref().map(|(resigned, _)| resigned.clone()),
+        })
+    }
+
+    /// A sibling tells what it has found.
+    pub(super) fn take_detection(&mut self, from: &Node, incarnation: u64, detection: Detection) {
+        if !self.acts_on_failures() {
+            return;
+        }
+        self.peers.detector_mut().opinions(from, detection.opinions, self.io.now);
+        if let Some(resigned) = detection.resigned.filter(|r| r.incarnation != incarnation) {
+            self.end_resigned(from, &resigned);
+        }
+    }
+
+    /// A sibling's process has ended by itself, but could not remove its key.
+    fn end_resigned(&mut self, of: &Node, resigned: &Resigned) {
+        let stored = self.view.node(of).map(|stored| &stored.record);
+        let still_there = stored.is_some_and(|record| {
+            record.incarnation == resigned.incarnation && record.lease == resigned.lease
+        });
+        if !still_there || !self.has_state() || self.detection.ended == Some(resigned.lease) {
+            return;
+        }
+        tracing::info!("{of} has given up its share; its lease is ended");
+        self.detection.ended = Some(resigned.lease);
+        let lease = resigned.lease;
+        self.io.state(Pending::Authority(AuthorityCall::End), StateCall::LeaseEnd { lease });
+        self.view.want_sync();
+    }
+
+    /// Ends this process's authority if it has lost what others have: they can do better.
+    pub(super) fn resign_if_failed_in_part(&mut self, lease: u64) {
+        if self.owner.is_none() {
+            return;
+        }
+        let workers = &self.config.deployment.workers;
+        match self.own_contact().partial_failure() {
+            None => {}
+            Some(PartialFailure::CutFromWorkers) => {
+                let pause = workers.lease_s * CUT_OFF_PAUSE_LEASES;
+                let pending = Pending::Authority(AuthorityCall::End);
+                self.io.state(pending, StateCall::LeaseEnd { lease });
+                self.begin_anew("workers reach siblings only", pause);
+                self.peers.sync_soon(self.io.now);
+            }
+            Some(PartialFailure::RefusedByState) => {
+                let resigned = Resigned { incarnation: self.authority.incarnation(), lease };
+                self.detection.resigned = Some((resigned, self.io.now));
+                self.begin_anew("the state service refuses this controller alone", 0.0);
+                self.peers.sync_soon(self.io.now);
+            }
+        }
+    }
+
+    fn own_contact(&self) -> OwnContact {
+        let now = self.io.now;
+        let workers = &self.config.deployment.workers;
+        let workers_silent_s = now - self.peers.workers_heard();
+        let mut contact = OwnContact {
+            report_s: workers.report_s,
+            lease_s: workers.lease_s,
+            key_lifetime_s: self.authority.ttl(),
+            workers_silent_s,
+            ..OwnContact::default()
+        };
+        // Looks at the whole share, so only when there is something to find.
+        if let Some(owner) = self.owner.as_ref().filter(|_| workers_silent_s > workers.report_s) {
+            contact.machines = owner.machine_count();
+            contact.others_get_workers = self.peers.siblings_get_workers(now);
+            if self.acts_on_failures() {
+                let lately = now - workers.report_s * ELSEWHERE_REPORT_TIMES;
+                contact.machines_elsewhere = owner.machines_relayed_since(lately);
+            }
+        }
+        if self.acts_on_failures() && self.detection.refusals > 0 {
+            let state_silent_s = self.view.state_silence(now);
+            let later = now - state_silent_s + self.authority.ttl() * SERVED_LATER_LIFETIMES;
+            contact.state_silent_s = state_silent_s;
+            contact.refusals = self.detection.refusals;
+            contact.others_heard = self.peers.heard(now).count();
+            contact.others_served = self.peers.served_since(later, now);
+        }
+        contact
+    }
+
+    /// Whether renewing the lease would keep a key alive under which nobody acts: this process's authority has
+    /// run out, and neither the state service nor any sibling is heard. What it sends may arrive all the
+    /// same, and so its share would never be handed on. Once it hears the state service it goes on.
+    pub(super) fn renews_for_nobody(&self) -> bool {
+        let now = self.io.now;
+        self.acts_on_failures()
+            && !self.authority.entitled(now)
+            && self.view.state_silence(now) > self.authority.ttl()
+            && !self.peers.heard_any(now)
+    }
+
+    /// The leader's key, if its process has failed and this controller is to take it over: of those that
+    /// read the state service and are heard here the first by name, so that they do not race.
+    pub(super) fn failed_leader(&self) -> Option<u64> {
+        let now = self.io.now;
+        let leader = self.view.leader()?;
+        let node = &leader.record.node;
+        let mut siblings = self.peers.heard(now);
+        let first =
+            siblings.all(|other| other > &self.config.node || !self.peers.reads_state(other, now));
+        let takes_over = self.acts_on_failures()
+            && *node != self.config.node
+            && self.peers.detector().has_failed(node)
+            && first
+            && self.has_state()
+            && self.authority.entitled(now);
+        takes_over.then_some(leader.version)
+    }
+
+    /// Whether a worker is not to be sent to this process, since nobody would answer it there.
+    pub(super) fn is_unreachable_owner(&self, node: &Node, incarnation: u64) -> bool {
+        *node == self.config.node
+            || !self.view.is_registered(node, incarnation)
+            || self.peers.detector().has_failed(node)
+    }
+
+    /// Whether this process has failed and its key is about to go, so that its share is handed on soon.
+    /// One that keeps its key for longer lives, out of reach for a quorum: its machines are claimed.
+    pub(super) fn lapses_soon(&self, node: &Node) -> bool {
+        let detector = self.peers.detector();
+        let lapses_after = self.authority.ttl() * LAPSES_LIFETIMES;
+        detector.has_failed(node) && detector.silence(node, self.io.now) < lapses_after
+    }
+}
+
+/// One line for each change of stage.
+fn log_change(change: &StageChange<Node>) {
+    let StageChange { of, from, to, evidence } = change;
+    let (silence, votes) = (evidence.silence_s, evidence.votes);
+    let process = evidence.incarnation.map_or(0, |incarnation| incarnation.0);
+    match to {
+        Stage::Alive => tracing::info!("{of} answers again, process {process} (was {from:?})"),
+        Stage::Suspected => {
+            tracing::info!("{of} is suspected: no answer for {silence:.1} s, process {process}");
+        }
+        Stage::Confirmed => {
+            let gone = if evidence.key_gone { ", its key has gone" } else { "" };
+            tracing::info!("{of} has failed: {votes} controllers do not hear it{gone}");
+        }
+        Stage::HandedOver => tracing::info!("{of} has failed and owns nothing any more"),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -33,6 +33,10 @@
     Orders {
         machine: MachineId,
     },
+    /// What a machine holds that has come to this share.
+    Question {
+        machine: MachineId,
+    },
     Hello {
         node: Node,
         sent: Time,
@@ -105,7 +109,7 @@
 
     pub fn finish(&mut self, call: CallId) -> Option<Pending> {
         let pending = self.calls.remove(&call);
-        if let Some(Pending::Orders { .. }) = pending {
+        if let Some(Pending::Orders { .. } | Pending::Question { .. }) = pending {
             self.direct_orders -= 1;
         }
         pending
@@ -143,8 +147,17 @@
     }
 
     pub fn worker(&mut self, machine: &MachineId, address: &str, orders: DirectOrders) -> CallId {
+        self.direct(Pending::Orders { machine: machine.clone() }, address, orders)
+    }
+
+    /// Asks a machine what it holds, by orders that order nothing.
+    pub fn question(&mut self, machine: &MachineId, address: &str, orders: DirectOrders) {
+        self.direct(Pending::Question { machine: machine.clone() }, address, orders);
+    }
+
+    fn direct(&mut self, pending: Pending, address: &str, orders: DirectOrders) -> CallId {
         self.direct_orders += 1;
-        let call = self.call(Pending::Orders { machine: machine.clone() });
+        let call = self.call(pending);
         self.effects.push(Effect::Worker(call, address.to_owned(), orders));
         call
     }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -15,6 +15,7 @@
 use crate::config::Config;
 use crate::ids::{MachineId, Node, Team, Term, Version};
 use crate::wire::{BODY_LIMIT, Guard, Report, Transaction, Write};
+use failure_detector::Stage;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -202,7 +203,7 @@
             .filter(|team| !self.map.owners.teams.contains_key(team))
             .collect();
         for team in unowned {
-            if let Some((node, incarnation)) = self.fewest_teams(living) {
+            if let Some((node, incarnation)) = self.fewest_teams(living, peers) {
                 self.give_team(&team, &node, incarnation);
             }
         }
@@ -220,7 +221,7 @@
             }
             let successor = match living.get(&process.0) {
                 Some(incarnation) => Some((process.0.clone(), *incarnation)),
-                None => self.fewest_teams(living),
+                None => self.fewest_teams(living, peers),
             };
             let Some((successor, incarnation)) = successor else { continue };
             tracing::info!("the share of {} goes to {successor}", process.0);
@@ -257,8 +258,11 @@
         self.map.owners.teams.values().filter(|owner| owner.node == *node).count()
     }
 
-    fn fewest_teams(&self, living: &BTreeMap<Node, u64>) -> Option<Process> {
-        let node = living.keys().min_by_key(|node| self.teams_of(node))?;
+    /// The controller with the fewest teams, of those that answer if any does.
+    fn fewest_teams(&self, living: &BTreeMap<Node, u64>, peers: &Peers) -> Option<Process> {
+        let acts_on_failures = self.config.features.acts_on_failures();
+        let silent = |node: &Node| acts_on_failures && peers.detector().stage(node) != Stage::Alive;
+        let node = living.keys().min_by_key(|node| (silent(node), self.teams_of(node)))?;
         Some((node.clone(), living[node]))
     }
 
--- a/src/core/machine_claims.rs
+++ b/src/core/machine_claims.rs
@@ -7,6 +7,7 @@
 use super::leader::Leader;
 use super::part_map::{Owner as MapOwner, Owners};
 use super::view::View;
+use super::waiting_reports::WaitsFor;
 use super::{Core, RequestId, Time};
 use crate::config::Config;
 use crate::ids::{MachineId, Node, Term};
@@ -14,14 +15,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Part of the time between two reports for which a claimed machine's report waits for the map. If the
-/// machine is not here by then, its worker tries another controller.
-const WAIT_REPORTS: f64 = 0.4;
 /// Leases for which a claim stands, and for which a claimed machine stays where it was claimed, even
 /// with a controller that has no team.
 const CLAIM_LEASES: f64 = 3.0;
-/// Reports that wait for the map at most, as a part of the limit on sockets.
-const WAITING_PER_SOCKET: f64 = 0.25;
 /// Part of the limit on values that claims may take.
 const VALUE_PART: f64 = 0.5;
 /// Bytes that one claim takes at most, as it is stored.
@@ -36,21 +32,10 @@
     pub term: Term,
 }
 
-/// A report that is answered once its machine is here.
-struct WaitingReport {
-    request: RequestId,
-    report: Report,
-    owner: Node,
-    until: Time,
-}
-
 /// What this controller claims.
 pub struct MachineClaims {
     claims: BTreeMap<MachineId, (Term, Time)>,
-    waiting: Vec<WaitingReport>,
-    most_waiting: usize,
     most_claims: usize,
-    wait: Time,
     standing: Time,
 }
 
@@ -61,10 +46,7 @@
         let bytes = deployment.state.value_kb * 1024.0 * VALUE_PART;
         Self {
             claims: BTreeMap::new(),
-            waiting: Vec::new(),
-            most_waiting: (deployment.limits.fd_limit as f64 * WAITING_PER_SOCKET) as usize,
             most_claims: (bytes / CLAIM_BYTES) as usize,
-            wait: deployment.workers.report_s * WAIT_REPORTS,
             standing: deployment.workers.lease_s * CLAIM_LEASES,
         }
     }
@@ -83,7 +65,7 @@
             open && now - *since < standing
         });
         let known = self.claims.contains_key(machine);
-        let room = self.waiting.len() < self.most_waiting && self.claims.len() < self.most_claims;
+        let room = self.claims.len() < self.most_claims;
         if known || room {
             self.claims.insert(machine.clone(), (term, now));
         }
@@ -104,6 +86,7 @@
             && living
             && (comes_from_owner || same_zone)
             && !self.peers.hears(&owner.node, now)
+            && !(self.acts_on_failures() && self.lapses_soon(&owner.node))
             && self.owner.is_some()
             && self.authority.entitled(now)
     }
@@ -111,31 +94,12 @@
     /// Claims a machine; its report is answered as soon as the map gives it to this controller.
     pub(super) fn claim(&mut self, request: RequestId, report: Report, owner: &MapOwner) {
         let now = self.io.now;
-        if !self.claims.add(&report.machine, owner.term, self.view.owners(), now) {
+        let full = self.waiting_reports.are_full();
+        if full || !self.claims.add(&report.machine, owner.term, self.view.owners(), now) {
             return self.send_elsewhere(request, &owner.node);
         }
         tracing::debug!("{} can't reach {} and is claimed", report.machine, owner.node);
-        let until = now + self.claims.wait;
-        let owner = owner.node.clone();
-        self.claims.waiting.push(WaitingReport { request, report, owner, until });
-    }
-
-    /// Answers the reports of claimed machines that have come here, and sends those away that have not.
-    pub(super) fn answer_claimed(&mut self) {
-        let now = self.io.now;
-        for waiting in std::mem::take(&mut self.claims.waiting) {
-            let owner = self.view.owners().machines.get(&waiting.report.machine);
-            let here = owner.is_some_and(|owner| owner.node == self.config.node);
-            let answer = here.then(|| self.checkin(waiting.report.clone())).flatten();
-            if let Some(answer) = answer {
-                self.peers.heard_workers(now);
-                self.io.answer(waiting.request, answer);
-            } else if now >= waiting.until {
-                self.send_elsewhere(waiting.request, &waiting.owner);
-            } else {
-                self.claims.waiting.push(waiting);
-            }
-        }
+        self.wait_for_map(request, report, owner, WaitsFor::Claim);
     }
 }
 
--- a/src/core/machine_orders.rs
+++ b/src/core/machine_orders.rs
@@ -82,10 +82,14 @@
         }
     }
 
+    /// Direct messages to machines that may be under way at once.
+    pub(super) fn most_direct_orders(&self) -> usize {
+        (self.config.deployment.limits.fd_limit as f64 * ORDERS_PER_SOCKET).ceil() as usize
+    }
+
     /// Sends the orders that machines have not been told yet, as many messages at once as there may be.
     pub(super) fn push_orders(&mut self, io: &mut Io) {
-        let sockets = self.config.deployment.limits.fd_limit as f64;
-        let most = (sockets * ORDERS_PER_SOCKET).ceil() as usize;
+        let most = self.most_direct_orders();
         while io.direct_orders() < most
             && let Some(id) = self.unsent_orders.pop_first()
         {
@@ -137,7 +141,13 @@
     }
 
     /// Takes up the report in the answer to a direct message.
-    fn take_direct_report(&mut self, io: &mut Io, view: &View, id: &MachineId, report: &Report) {
+    pub(super) fn take_direct_report(
+        &mut self,
+        io: &mut Io,
+        view: &View,
+        id: &MachineId,
+        report: &Report,
+    ) {
         // Of a machine that has changed hands meanwhile its new owner tells.
         let Some(machine) = self.machines.get_mut(id).filter(|machine| machine.mine) else {
             return;
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -127,6 +127,8 @@
     /// Not to be used before this time.
     pub aside_until: Time,
     pub seen: Time,
+    /// When a sibling last relayed a report of it.
+    pub relayed: Time,
 }
 
 /// Whether a report is news.
@@ -177,6 +179,7 @@
             failed_jobs: BTreeSet::new(),
             aside_until: 0.0,
             seen: now,
+            relayed: Time::NEG_INFINITY,
         }
     }
 
@@ -227,6 +230,11 @@
         Freshness::NewReport { new_session }
     }
 
+    /// Sessions up to this one are over.
+    pub fn over(&self) -> u64 {
+        self.over
+    }
+
     /// Everything on it is gone, and nothing of its present session will count again.
     pub fn end_session(&mut self) {
         self.over = self.session;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,7 +6,9 @@
 pub mod catalog;
 pub mod consolidation;
 pub mod dependencies;
+pub mod failure_detection;
 pub mod forecast;
+pub mod gained_machines;
 pub mod io;
 pub mod job_failures;
 pub mod job_records;
@@ -48,6 +50,7 @@
 pub mod upcoming;
 pub mod user_requests;
 pub mod view;
+pub mod waiting_reports;
 pub mod zone_contact;
 
 use crate::config::Config;
@@ -246,6 +249,9 @@
     relays: report_routing::Relays,
     claims: machine_claims::MachineClaims,
     resumption: resumption::Resumption,
+    detection: failure_detection::FailureDetection,
+    waiting_reports: waiting_reports::WaitingReports,
+    contacts: gained_machines::MachineContacts,
 }
 
 impl Core {
@@ -267,6 +273,9 @@
             relays: report_routing::Relays::new(&config),
             claims: machine_claims::MachineClaims::new(&config),
             resumption: resumption::Resumption::new(&config),
+            detection: failure_detection::FailureDetection::default(),
+            waiting_reports: waiting_reports::WaitingReports::new(&config),
+            contacts: gained_machines::MachineContacts::default(),
             config,
         }
     }
@@ -274,6 +283,7 @@
     /// Works through a batch. `now` is the steady clock; `wall_ms` the time of day.
     pub fn step(&mut self, now: Time, wall_ms: u64, batch: Vec<Input>) -> Vec<Effect> {
         self.io.begin(now, wall_ms);
+        self.peers.detector_mut().step(now);
         if let Some(paused) = self.resumption.step(now) {
             self.resumed(paused);
         }
@@ -289,9 +299,9 @@
         self.leader.is_some() && self.authority.entitled(now)
     }
 
-    /// Whether a sibling that was heard once has not answered lately.
-    pub fn suspects(&self, sibling: &Node, now: Time) -> bool {
-        self.peers.suspects(sibling, now)
+    /// How a sibling is judged.
+    pub fn stage_of(&self, sibling: &Node) -> failure_detector::Stage {
+        self.peers.detector().stage(sibling)
     }
 
     /// The teams for which this controller can start tasks: it is entitled to, and has machines.
@@ -334,13 +344,15 @@
                 }
                 _ => {}
             },
-            Input::Worker(call, reply) => {
-                if let (Some(Pending::Orders { machine }), Some(owner)) =
-                    (self.io.finish(call), self.owner.as_mut())
-                {
+            Input::Worker(call, reply) => match (self.io.finish(call), self.owner.as_mut()) {
+                (Some(Pending::Orders { machine }), Some(owner)) => {
                     owner.orders_answered(&mut self.io, &self.view, &machine, call, reply);
                 }
-            }
+                (Some(Pending::Question { machine }), Some(_)) => {
+                    self.question_answered(&machine, reply);
+                }
+                _ => {}
+            },
             Input::MeshReply(call, reply) => {
                 if let Some(pending) = self.io.finish(call) {
                     self.mesh_reply(pending, reply);
@@ -351,8 +363,14 @@
 
     fn state_reply(&mut self, pending: Pending, reply: StateReply) {
         self.io.pace(pending.is_change(), &reply);
-        if !matches!(reply, StateReply::Busy | StateReply::Refused | StateReply::Unknown) {
-            self.view.state_answered(self.io.now);
+        match reply {
+            StateReply::Refused => self.detection.refused(),
+            StateReply::Busy => {}
+            StateReply::Unknown => self.detection.not_refused(),
+            _ => {
+                self.detection.not_refused();
+                self.view.state_answered(self.io.now);
+            }
         }
         match pending {
             Pending::Sync { sent } => {
@@ -385,6 +403,7 @@
                 _ => {}
             },
             Pending::Orders { .. }
+            | Pending::Question { .. }
             | Pending::Hello { .. }
             | Pending::Relay { .. }
             | Pending::RelayedReport { .. }
@@ -406,6 +425,8 @@
         let resuming = self.resumption.lasts(self.view.current_as_of, now);
         self.sync_when_due();
         self.time_out_user_requests();
+        self.judge_siblings();
+        self.relays.follow(&self.view, now);
         self.keep_authority();
         self.catalog_when_due();
         self.take_roles();
@@ -436,9 +457,13 @@
                     &self.catalog,
                     &self.unresponsive,
                 );
+                if self.authority.take_new_question() && self.acts_on_failures() {
+                    self.peers.sync_soon(now);
+                }
             }
+            self.ask_gained_machines();
         }
-        self.answer_claimed();
+        self.answer_waiting_reports();
         self.hello_when_due();
     }
 
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -55,6 +55,8 @@
     map_seen: Option<u64>,
     /// Machines that have orders to be sent at once.
     pub(super) unsent_orders: BTreeSet<MachineId>,
+    /// Machines that have come here and were not asked yet what they hold.
+    pub(super) gained: BTreeSet<MachineId>,
     /// Something changed that placement may profit from.
     pub(super) changed: bool,
     /// On which machines tasks of each job may be.
@@ -118,6 +120,7 @@
             teams: BTreeMap::new(),
             map_seen: None,
             unsent_orders: BTreeSet::new(),
+            gained: BTreeSet::new(),
             changed: true,
             task_index: TaskIndex::default(),
             starts_in_flight: StartsInFlight::default(),
@@ -253,6 +256,9 @@
                     let former = owner.former.clone().or(former);
                     machine.former = former.filter(|former| mine && sibling(former));
                     machine.gained = view.map_revision();
+                    if gained {
+                        self.gained.insert(id.clone());
+                    }
                     self.changed = true;
                 }
                 None if mine => {
@@ -261,6 +267,7 @@
                     machine.mine = true;
                     machine.former = owner.former.clone().filter(sibling);
                     machine.gained = view.map_revision();
+                    self.gained.insert(id.clone());
                     self.machines.insert(id.clone(), machine);
                 }
                 _ => {}
@@ -383,6 +390,24 @@
         self.machines.values().any(|machine| machine.mine)
     }
 
+    /// Machines of this share.
+    pub fn machine_count(&self) -> usize {
+        self.machines.values().filter(|machine| machine.mine).count()
+    }
+
+    /// Machines of this share whose reports a sibling has relayed since this moment.
+    pub fn machines_relayed_since(&self, since: Time) -> usize {
+        let mine = self.machines.values().filter(|machine| machine.mine);
+        mine.filter(|machine| machine.relayed >= since).count()
+    }
+
+    /// A sibling relays a report of this machine, which so does not reach this controller by itself.
+    pub(super) fn note_relayed(&mut self, id: &MachineId, now: Time) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.relayed = now;
+        }
+    }
+
     pub fn settled_teams(&self) -> Vec<Team> {
         let settled = self.teams.iter().filter(|(_, team)| team.unsettled.is_empty());
         settled.map(|(name, _)| name.clone()).collect()
--- a/src/core/owner/tests.rs
+++ b/src/core/owner/tests.rs
@@ -136,7 +136,7 @@
     };
     share.take_task(&mut io, &view, &id, task.clone(), &shown);
     let news = |share: &Owner, view: &View| {
-        let news = share.update_for(&"n1".into(), view, None, Hints::new());
+        let news = share.update_for(&"n1".into(), view, None, Hints::new(), Default::default());
         (news.settled.len(), news.observations.len())
     };
     assert_eq!(news(&share, &view), (0, 0));
@@ -170,6 +170,7 @@
         need: Need::default(),
         refused: None,
         images: Hints::new(),
+        contacts: Default::default(),
     };
     share.take_update(&mut io, &view, &"n1".into(), 1, news(&[]));
     assert!(
--- a/src/core/peer_sync.rs
+++ b/src/core/peer_sync.rs
@@ -3,6 +3,7 @@
 //! their team changes hands. All of it is level-triggered: every message holds the whole present
 //! state, so that a lost or late one does no harm.
 
+use super::gained_machines::MachineContacts;
 use super::io::Io;
 use super::leader::Leader;
 use super::machines::{Machine, Phase};
@@ -39,6 +40,9 @@
     /// Now and then: the images on the sender's machines; to a process that has just begun, all
     /// that the sender knows. A new owner starts without them where it would have to fetch.
     pub images: Hints,
+    /// With the images: where those machines are reached, so that whoever has them next can ask them at once.
+    #[serde(default, skip_serializing_if = "MachineContacts::is_empty")]
+    pub contacts: MachineContacts,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -70,6 +74,7 @@
         view: &View,
         leader: Option<&Leader>,
         images: Hints,
+        contacts: MachineContacts,
     ) -> PeerUpdate {
         let owners = view.owners();
         let theirs: BTreeSet<&Team> =
@@ -111,6 +116,7 @@
             need: self.need.clone(),
             refused: leader.map(Leader::refused),
             images,
+            contacts,
         }
     }
 
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -1,9 +1,11 @@
 //! What the controllers tell one another: that they live, vouchers and consents for authority,
-//! how many tasks run (for display), and users' requests that a controller cannot answer itself.
+//! how many tasks run (for display), and users' requests that a controller cannot answer itself. Who of
+//! them lives is judged by the detector ([`super::failure_detection`]).
 
 use super::authority::Process;
+use super::failure_detection::Detection;
 use super::io::Pending;
-use super::owner::{Hints, Owner};
+use super::owner::Owner;
 use super::peer_sync::PeerUpdate;
 use super::unresponsive::Unresponsive;
 use super::view::Finals;
@@ -11,6 +13,7 @@
 use crate::config::Config;
 use crate::ids::{JobId, Node, Version};
 use crate::wire::{JobSpec, Report, ReportAnswer};
+use failure_detector::{Detector, Incarnation, Settings};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -53,6 +56,9 @@
     /// version without this says nothing, and its share waits for consents.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub authority_ends: bool,
+    /// The sender takes part in the detection of failures, and what it has found.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detection: Option<Detection>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -80,14 +86,18 @@
     /// authority ends sooner.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub finals: Option<Finals>,
+    /// See [`Hello::detection`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detection: Option<Detection>,
 }
 
 struct Peer {
     /// From its last reply, and when the hello that it answered was sent.
     incarnation: Option<(u64, Time)>,
-    heard: Time,
     has_state: bool,
     sends_workers: bool,
+    /// When the state service last served it, at the least.
+    served: Time,
     hello_out: bool,
     /// Process and number of its newest hello.
     newest: (u64, u64),
@@ -102,10 +112,15 @@
 
 /// Images are told with every so many hellos.
 const IMAGES_EVERY: u64 = 10;
+/// Hellos to each sibling in one lease of a worker.
+const HELLOS_PER_LEASE: f64 = 20.0;
+/// Hellos for which what a sibling told in one of them counts as recent.
+const RECENT_HELLOS: f64 = 4.0;
 
 pub struct Peers {
     node: Node,
     peers: BTreeMap<Node, Peer>,
+    detector: Detector<Node>,
     next_hello: Time,
     interval: Time,
     recent: Time,
@@ -117,9 +132,9 @@
     pub fn new(config: &Config) -> Self {
         let peer = || Peer {
             incarnation: None,
-            heard: Time::NEG_INFINITY,
             has_state: false,
             sends_workers: false,
+            served: Time::NEG_INFINITY,
             hello_out: false,
             newest: (0, 0),
             bounded: None,
@@ -127,13 +142,17 @@
             running: BTreeMap::new(),
             sent_worker: Time::NEG_INFINITY,
         };
-        let interval = config.deployment.workers.lease_s / 20.0;
+        let interval = config.deployment.workers.lease_s / HELLOS_PER_LEASE;
+        let suspect_heartbeats = config.features.suspect_heartbeats();
+        let settings = Settings::new(interval, suspect_heartbeats, config.controllers());
+        let siblings = config.siblings.iter().map(|sibling| sibling.node.clone());
         Self {
             node: config.node.clone(),
+            detector: Detector::new(siblings, settings),
             peers: config.siblings.iter().map(|s| (s.node.clone(), peer())).collect(),
             next_hello: 0.0,
             interval,
-            recent: interval * 4.0,
+            recent: interval * RECENT_HELLOS,
             number: 0,
             heard_workers: Time::NEG_INFINITY,
         }
@@ -157,25 +176,52 @@
         self.peers.get(node).is_some_and(|peer| peer.bounded == Some(*incarnation))
     }
 
+    /// What judges the siblings.
+    pub fn detector(&self) -> &Detector<Node> {
+        &self.detector
+    }
+
+    /// The same, for evidence.
+    pub(super) fn detector_mut(&mut self) -> &mut Detector<Node> {
+        &mut self.detector
+    }
+
+    /// Whether any sibling has answered lately.
     pub fn heard_any(&self, now: Time) -> bool {
-        self.peers.values().any(|peer| now - peer.heard < self.recent)
+        self.detector.hears_any(now)
     }
 
     /// Whether a sibling has answered lately.
     pub fn hears(&self, node: &Node, now: Time) -> bool {
-        self.peers.get(node).is_some_and(|peer| now - peer.heard < self.recent)
+        self.detector.hears(node, now)
+    }
+
+    /// Siblings that have answered lately.
+    pub fn heard(&self, now: Time) -> impl Iterator<Item = &Node> {
+        self.peers.keys().filter(move |node| self.hears(node, now))
     }
 
-    /// Whether a sibling that has answered once has not answered lately.
-    pub fn suspects(&self, node: &Node, now: Time) -> bool {
-        let heard = self.peers.get(node).is_some_and(|peer| peer.heard.is_finite());
-        heard && !self.hears(node, now)
+    /// Siblings that have answered lately and were served by the state service after this moment.
+    pub fn served_since(&self, since: Time, now: Time) -> usize {
+        self.heard(now).filter(|node| self.peers[*node].served > since).count()
+    }
+
+    /// Whether a sibling has answered lately, and that it can read the state service.
+    pub fn reads_state(&self, node: &Node, now: Time) -> bool {
+        self.hears(node, now) && self.peers.get(node).is_some_and(|peer| peer.has_state)
+    }
+
+    /// A sibling answered a hello that was sent at `sent`: the state service had served it `state_age`
+    /// before.
+    pub(super) fn served(&mut self, node: &Node, sent: Time, state_age: Time) {
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.served = peer.served.max(sent - state_age);
+        }
     }
 
     /// A sibling that can read the state service.
     pub fn with_state(&self, now: Time) -> Option<&Node> {
-        let usable = |peer: &Peer| peer.has_state && now - peer.heard < self.recent;
-        self.peers.iter().find(|(_, peer)| usable(peer)).map(|(node, _)| node)
+        self.peers.keys().find(|node| self.reads_state(node, now))
     }
 
     pub fn running(&self, job: &JobId) -> Option<(u32, u32)> {
@@ -186,7 +232,7 @@
         self.heard_workers = now;
     }
 
-    #[cfg(test)]
+    /// When a worker was last heard.
     pub fn workers_heard(&self) -> Time {
         self.heard_workers
     }
@@ -202,10 +248,9 @@
         self.next_hello = self.next_hello.min(now + self.interval * 0.2);
     }
 
-    /// Workers reach siblings but, for `silence` seconds, not this controller.
-    pub fn cut_from_workers(&self, now: Time, silence: Time) -> bool {
-        let elsewhere = |peer: &Peer| peer.sends_workers && now - peer.heard < self.recent;
-        now - self.heard_workers > silence && self.peers.values().any(elsewhere)
+    /// Whether workers that this controller sent to siblings were there lately.
+    pub fn siblings_get_workers(&self, now: Time) -> bool {
+        self.heard(now).any(|node| self.peers[node].sends_workers)
     }
 }
 
@@ -227,8 +272,11 @@
         }
         if self.view.complete() {
             self.unresponsive.prune(self.view.owners());
+            self.contacts.prune(self.view.owners());
         }
         let quiet = self.unresponsive.all(now);
+        let detection = self.own_detection();
+        let acts_on_failures = self.acts_on_failures();
         let behind = now - self.view.current_as_of > self.peers.recent;
         let finals_after = (behind && self.view.complete()).then(|| self.view.finals_known());
         let nodes: Vec<Node> = self.peers.peers.keys().cloned().collect();
@@ -239,12 +287,13 @@
             }
             let now_and_then = self.peers.number.is_multiple_of(IMAGES_EVERY);
             let news = self.owner.as_ref().filter(|_| entitled).map(|owner| {
-                let images = match (std::mem::take(&mut peer.ignorant), now_and_then) {
-                    (true, _) => owner.known_images(),
-                    (false, true) => owner.own_images(),
-                    (false, false) => Hints::new(),
+                let (images, contacts) = match (std::mem::take(&mut peer.ignorant), now_and_then) {
+                    (true, _) => (owner.known_images(), self.contacts.with(owner.contacts())),
+                    (false, true) => (owner.own_images(), owner.contacts()),
+                    (false, false) => Default::default(),
                 };
-                owner.update_for(&node, &self.view, self.leader.as_ref(), images)
+                let contacts = if acts_on_failures { contacts } else { Default::default() };
+                owner.update_for(&node, &self.view, self.leader.as_ref(), images, contacts)
             });
             let hello = Hello {
                 from: self.peers.node.clone(),
@@ -257,6 +306,7 @@
                 news,
                 finals_after,
                 authority_ends: true,
+                detection: detection.clone(),
             };
             let pending = Pending::Hello { node: node.clone(), sent: now };
             self.io.mesh(pending, &node, MeshMessage::Hello(Box::new(hello)));
@@ -282,6 +332,7 @@
     fn hello(&mut self, request: RequestId, hello: Hello) {
         let now = self.io.now;
         let Hello { from, incarnation, wants_consent, quiet, .. } = hello;
+        self.peers.detector.message_received(&from, now);
         let registered = self.view.is_registered(&from, incarnation);
         if hello.authority_ends {
             self.peers.says_authority_ends(&(from.clone(), incarnation));
@@ -309,7 +360,8 @@
         if let (Some(news), None, false) = (&hello.news, &self.owner, late) {
             self.hints.extend(news.images.clone());
         }
-        if let (Some(news), false) = (hello.news, late) {
+        if let (Some(mut news), false) = (hello.news, late) {
+            self.contacts.extend(std::mem::take(&mut news.contacts));
             if let Some(leader) = self.leader.as_mut() {
                 leader.needs(&from, news.need.clone());
             }
@@ -317,10 +369,14 @@
                 owner.take_update(&mut self.io, &self.view, &from, incarnation, news);
             }
         }
+        if let Some(detection) = hello.detection.filter(|_| !late) {
+            self.take_detection(&from, incarnation, detection);
+        }
         let reply = HelloReply {
             incarnation: self.authority.incarnation(),
             vouches,
             consents,
+            detection: self.own_detection(),
             has_state: self.has_state(),
             sends_workers,
             // A view that is being read again knows what it knew before, but one that never was
@@ -343,10 +399,15 @@
                 let Some(MeshReply::Hello(reply)) = reply else { return };
                 if let Some(peer) = self.peers.peers.get_mut(&node) {
                     peer.incarnation = Some((reply.incarnation, sent));
-                    peer.heard = now;
                     peer.has_state = reply.has_state;
                     peer.sends_workers = reply.sends_workers;
                 }
+                let incarnation = Incarnation(reply.incarnation);
+                self.peers.detector.heartbeat_answered(&node, incarnation, sent, now);
+                if let Some(detection) = reply.detection {
+                    self.peers.served(&node, sent, detection.state_age);
+                    self.take_detection(&node, reply.incarnation, detection);
+                }
                 if let Some(finals) = reply.finals {
                     let complete = finals.complete;
                     self.view.take_finals(finals);
--- a/src/core/report_routing.rs
+++ b/src/core/report_routing.rs
@@ -1,21 +1,27 @@
 //! Which controller answers a worker's report. A worker reports to one controller at a time; one
 //! that is not its machine's owner sends it there. A worker that has shown the owner's present token
 //! was there already and has left again, so it can't reach the owner: then its report is relayed,
-//! once, so that its lease does not run out meanwhile.
+//! once, so that its lease does not run out meanwhile. While a term is young its machine may have been told the
+//! token by a direct message ([`super::gained_machines`]), so that its worker was not there yet.
 
 use super::io::Pending;
 use super::part_map::Owner as MapOwner;
 use super::peers::{MeshMessage, MeshReply};
+use super::view::View;
+use super::waiting_reports::WaitsFor;
 use super::{Answer, Body, Core, RequestId, Time};
 use crate::config::Config;
-use crate::ids::{MachineId, Node};
+use crate::ids::{MachineId, Node, Term};
 use crate::wire::{Report, ReportAnswer, report_to};
+use failure_detector::Stage;
 use std::collections::BTreeMap;
 
 /// Leases of relaying after which a worker is sent to its owner once more.
 const RELAY_LEASES: f64 = 10.0;
 /// Leases after which a worker that was not here again has found its owner.
 const FORGET_LEASES: f64 = 1.0;
+/// Leases for which a term is young.
+const YOUNG_LEASES: f64 = 0.5;
 /// Relays under way at once at most, as a part of the limit on sockets.
 const RELAYS_PER_SOCKET: f64 = 0.05;
 
@@ -42,6 +48,11 @@
     under_way: usize,
     most: usize,
     next_prune: Time,
+    /// When each term of the map was first seen, and the map of that.
+    terms: BTreeMap<Term, Time>,
+    map_seen: Option<u64>,
+    /// Workers that were sent to their machines' owners, under which terms.
+    sent: BTreeMap<MachineId, Term>,
 }
 
 impl Relays {
@@ -52,6 +63,9 @@
             lease: config.deployment.workers.lease_s,
             machines: BTreeMap::new(),
             under_way: 0,
+            terms: BTreeMap::new(),
+            map_seen: None,
+            sent: BTreeMap::new(),
             most: (sockets * RELAYS_PER_SOCKET).ceil() as usize,
             next_prune: 0.0,
         }
@@ -74,6 +88,30 @@
         Route::Relay
     }
 
+    /// Takes up which terms there are.
+    pub(super) fn follow(&mut self, view: &View, now: Time) {
+        let first = self.map_seen.is_none();
+        if self.map_seen.replace(view.map_changes()) == Some(view.map_changes()) {
+            return;
+        }
+        let owners = view.owners();
+        let since = if first { Time::NEG_INFINITY } else { now };
+        let known = std::mem::take(&mut self.terms);
+        for owner in owners.machines.values() {
+            let seen = known.get(&owner.term).copied().unwrap_or(since);
+            self.terms.entry(owner.term).or_insert(seen);
+        }
+        self.sent.retain(|id, term| owners.machines.get(id).is_some_and(|o| o.term == *term));
+    }
+
+    /// Whether a worker is to try its owner before its reports are relayed: it may know the token without
+    /// having been there.
+    fn owner_first(&mut self, machine: &MachineId, term: Term, now: Time) -> bool {
+        let young =
+            self.terms.get(&term).is_some_and(|seen| now - seen < self.lease * YOUNG_LEASES);
+        young && self.sent.insert(machine.clone(), term) != Some(term)
+    }
+
     fn include(&self, machine: &MachineId) -> bool {
         self.machines.contains_key(machine)
     }
@@ -106,7 +144,8 @@
         {
             leader.newcomer(&report);
         }
-        if let Some(owner) = owner.as_ref().filter(|owner| self.has_left(&report, owner)) {
+        let left = owner.as_ref().filter(|owner| self.has_left(&report, owner));
+        if let Some(owner) = left.filter(|owner| !self.owner_first(&report, owner)) {
             match self.relays.begin(&report.machine, now) {
                 Route::Relay => return self.relay_report(request, owner.node.clone(), report),
                 Route::Elsewhere => return self.send_elsewhere(request, &owner.node.clone()),
@@ -117,12 +156,22 @@
             let owner = owner.clone();
             return self.claim(request, report, &owner);
         }
+        if let Some(owner) = owner.as_ref().filter(|owner| self.awaits_hand_over(&report, owner)) {
+            let owner = owner.clone();
+            return self.await_hand_over(request, report, &owner);
+        }
         // A machine without an owner is the leader's to place.
         let leader = || self.view.leader().map(|leader| leader.record.node.clone());
         let to = owner.map(|owner| owner.node).or_else(leader);
         self.redirect(request, to.filter(|node| *node != self.config.node));
     }
 
+    /// Whether a worker that knows its owner's token is all the same to try that owner first.
+    fn owner_first(&mut self, report: &Report, owner: &MapOwner) -> bool {
+        let now = self.io.now;
+        self.acts_on_failures() && self.relays.owner_first(&report.machine, owner.term, now)
+    }
+
     /// Whether a worker knows its machine's owner, which this controller can reach, and is here.
     fn has_left(&self, report: &Report, owner: &MapOwner) -> bool {
         // A relayed machine may not have heard of its owner's fresh token yet.
@@ -130,6 +179,26 @@
         owner.node != self.config.node && knows && self.peers.hears(&owner.node, self.io.now)
     }
 
+    /// Whether a machine's owner answers nobody, so that its worker is not to be sent there. Of one that is only
+    /// suspected here that is certain if the worker comes from it.
+    pub(super) fn awaits_hand_over(&self, report: &Report, owner: &MapOwner) -> bool {
+        if !self.acts_on_failures() {
+            return false;
+        }
+        let suspected = self.peers.detector().stage(&owner.node) == Stage::Suspected;
+        let comes_from_owner = report.token == owner.term;
+        self.is_unreachable_owner(&owner.node, owner.incarnation) || (suspected && comes_from_owner)
+    }
+
+    /// The worker waits here for the map. Where the state service is not heard the map does not change:
+    /// then it goes on at once.
+    fn await_hand_over(&mut self, request: RequestId, report: Report, owner: &MapOwner) {
+        if self.waiting_reports.are_full() || !self.has_state() {
+            return self.send_to_reachable(request);
+        }
+        self.wait_for_map(request, report, owner, WaitsFor::HandOver);
+    }
+
     /// The owner's answer, if this controller owns the machine and may act.
     pub(super) fn checkin(&mut self, report: Report) -> Option<Answer> {
         let entitled = self.authority.entitled(self.io.now);
@@ -137,7 +206,7 @@
         share.checkin(&mut self.io, &self.view, &self.catalog, report)
     }
 
-    fn redirect(&mut self, request: RequestId, to: Option<Node>) {
+    pub(super) fn redirect(&mut self, request: RequestId, to: Option<Node>) {
         if let Some(node) = &to {
             self.peers.sent_worker(node, self.io.now);
         }
@@ -154,6 +223,7 @@
     fn relay_report(&mut self, request: RequestId, owner: Node, report: Report) {
         tracing::debug!("{} does not reach {owner}: its report is relayed", report.machine);
         self.peers.sent_worker(&owner, self.io.now);
+        self.peers.detector_mut().worker_left(&owner, self.io.now);
         let pending = Pending::RelayedReport { request, owner: owner.clone() };
         self.io.mesh(pending, &owner, MeshMessage::Report(Box::new(report)));
     }
@@ -161,6 +231,10 @@
     /// A sibling relays a report of one of our machines. It is never passed on from here, and it is
     /// no sign that workers reach this controller.
     pub(super) fn relayed_report(&mut self, request: RequestId, report: Report) {
+        let now = self.io.now;
+        if let Some(owner) = self.owner.as_mut() {
+            owner.note_relayed(&report.machine, now);
+        }
         let answer = match self.checkin(report) {
             Some(Answer { status: 200, body: Body::Orders(orders), .. }) => Some(orders),
             _ => None,
--- a/src/core/tracking/tests.rs
+++ b/src/core/tracking/tests.rs
@@ -101,6 +101,7 @@
             need: Default::default(),
             refused: None,
             images: Default::default(),
+            contacts: Default::default(),
         };
         self.share.take_update(&mut self.io, &self.view, &"n1".into(), 1, update);
     }
--- a/src/features.rs
+++ b/src/features.rs
@@ -1,6 +1,7 @@
 //! What an installation switches on beyond the service as it was: a file of its own, named on the
 //! command line and checked as a whole before anything starts. Without it all is off.
 
+use failure_detector::{LEAST_SUSPECT_HEARTBEATS, SUSPECT_HEARTBEATS};
 use garde::Validate;
 use quota_ledger::Headroom;
 use schemars::JsonSchema;
@@ -33,6 +34,21 @@
     /// Team limits held by grants in the state service.
     #[garde(dive)]
     pub quota_ledger: Option<QuotaLedger>,
+    /// Failures of controllers noticed in stages, and what is prepared and given up early.
+    #[garde(dive)]
+    pub failure_detection: Option<FailureDetection>,
+}
+
+/// Settings of the detection of failed controllers.
+#[derive(Clone, Debug, PartialEq, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FailureDetection {
+    /// Whether controllers act on what it finds.
+    #[garde(skip)]
+    pub enabled: bool,
+    /// Heartbeats (twentieths of `lease_s`) without an answer after which a controller is suspected.
+    #[garde(custom(is_number), range(min = LEAST_SUSPECT_HEARTBEATS, max = 8.0))]
+    pub suspect_heartbeats: f64,
 }
 
 /// Settings of the grants of team limits.
@@ -78,6 +94,17 @@
         Ok(features)
     }
 
+    /// Heartbeats without an answer after which a controller is suspected.
+    pub fn suspect_heartbeats(&self) -> f64 {
+        let detection = self.failure_detection.as_ref().filter(|detection| detection.enabled);
+        detection.map_or(SUSPECT_HEARTBEATS, |detection| detection.suspect_heartbeats)
+    }
+
+    /// Whether controllers act on what the detection of failures finds.
+    pub fn acts_on_failures(&self) -> bool {
+        self.failure_detection.as_ref().is_some_and(|detection| detection.enabled)
+    }
+
     /// The rule by which grants of team limits grow and shrink, if they are on.
     pub fn headroom(&self, lease_s: f64) -> Option<Headroom> {
         let ledger = self.quota_ledger.as_ref().filter(|ledger| ledger.enabled)?;
--- a/tests/world/old.rs
+++ b/tests/world/old.rs
@@ -63,11 +63,16 @@
     if let MeshMessage::Hello(hello) = message {
         hello.finals_after = None;
         hello.authority_ends = false;
+        hello.detection = None;
+        if let Some(news) = hello.news.as_mut() {
+            news.contacts = Default::default();
+        }
     }
 }
 
 pub fn plain_reply(reply: &mut MeshReply) {
     if let MeshReply::Hello(reply) = reply {
         reply.finals = None;
+        reply.detection = None;
     }
 }
--- a/tests/world/settings.rs
+++ b/tests/world/settings.rs
@@ -31,6 +31,14 @@
     features
 }
 
+/// The features that `run` in the deploy file names.
+pub fn features_in_run() -> Features {
+    let Ok(features) = Features::parse(include_str!("../../deploy/failure-detection.toml")) else {
+        panic!("the shipped features")
+    };
+    features
+}
+
 /// `next`: the limits that will hold later, if this version is told of them.
 pub fn settings(index: usize, nodes: usize, limits: Limits, next: Option<Limits>) -> String {
     let state = limits.settings("deployment.state");
