Workers are led by nobody whose map is overtaken; who has no key does not hold up a take-over

Cause: a controller that the state service refused sent workers by its old map to owners that had lost them; relays to a controller that was giving up ended in 503; the first by name of those heard held the take-over of the leader's key up though it had just given up. Change: a report that shows a later token than the map waits for the map, or goes to a sibling that reads the state service; a relay without an answer waits for the map; only controllers with a key count as rivals.

--- a/src/core/failure_detection.rs
+++ b/src/core/failure_detection.rs
@@ -222,24 +222,28 @@
             && !self.peers.heard_any(now)
     }
 
-    /// The leader's key, if its process has failed and this controller is to take it over: of those that
-    /// read the state service and are heard here the first by name, so that they do not race.
+    /// The version of the leader's key, if its process has failed and this controller is to take it over: of
+    /// those that may the first by name, so that they do not race.
     pub(super) fn failed_leader(&self) -> Option<u64> {
-        let now = self.io.now;
         let leader = self.view.leader()?;
         let node = &leader.record.node;
-        let mut siblings = self.peers.heard(now);
-        let first =
-            siblings.all(|other| other > &self.config.node || !self.peers.reads_state(other, now));
+        let may_lead = self.has_state() && self.authority.entitled(self.io.now);
         let takes_over = self.acts_on_failures()
             && *node != self.config.node
             && self.peers.detector().has_failed(node)
-            && first
-            && self.has_state()
-            && self.authority.entitled(now);
+            && may_lead
+            && !self.has_rival();
         takes_over.then_some(leader.version)
     }
 
+    /// Whether a sibling with a name before this controller's could lead as well: it is heard, reads the
+    /// state service and has a key there.
+    fn has_rival(&self) -> bool {
+        let now = self.io.now;
+        let mut heard = self.peers.heard(now).filter(|other| **other < self.config.node);
+        heard.any(|other| self.peers.reads_state(other, now) && self.view.node(other).is_some())
+    }
+
     /// Whether a worker is not to be sent to this process, since nobody would answer it there.
     pub(super) fn is_unreachable_owner(&self, node: &Node, incarnation: u64) -> bool {
         *node == self.config.node
--- a/src/core/io.rs
+++ b/src/core/io.rs
@@ -4,6 +4,7 @@
 use super::job_records::RecordWrite;
 use super::leader::MapWrite;
 use super::pacing::Pacing;
+use super::part_map::Owner as MapOwner;
 use super::peers::{MeshMessage, MeshReply};
 use super::renting::CloudWork;
 use super::team_grants::GrantWrite;
@@ -11,7 +12,7 @@
 use super::{Answer, CallId, CloudCall, Effect, RequestId, StateCall, StateReply, Time};
 use crate::config::Config;
 use crate::ids::{MachineId, Node};
-use crate::wire::{DirectOrders, Write};
+use crate::wire::{DirectOrders, Report, Write};
 use rand::Rng;
 use rand::rngs::StdRng;
 use std::collections::HashMap;
@@ -47,7 +48,8 @@
     /// A report that its machine's owner answers.
     RelayedReport {
         request: RequestId,
-        owner: Node,
+        owner: MapOwner,
+        report: Box<Report>,
     },
     Notice,
     Cloud(Option<CloudWork>),
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -426,12 +426,12 @@
                 let body = body.map_or(Body::Empty, Body::Value);
                 self.io.answer(request, Answer { status, body, retry_after });
             }
-            (Pending::RelayedReport { request, owner }, reply) => {
+            (Pending::RelayedReport { request, owner, report }, reply) => {
                 let answer = match reply {
                     Some(MeshReply::ReportAnswer(answer)) => answer,
                     _ => None,
                 };
-                self.report_relayed(request, owner, answer);
+                self.report_relayed(request, &owner, *report, answer);
             }
             (Pending::Relay { request }, _) => {
                 self.io.answer(request, Answer::unavailable());
--- a/src/core/report_routing.rs
+++ b/src/core/report_routing.rs
@@ -147,7 +147,7 @@
         let left = owner.as_ref().filter(|owner| self.has_left(&report, owner));
         if let Some(owner) = left.filter(|owner| !self.owner_first(&report, owner)) {
             match self.relays.begin(&report.machine, now) {
-                Route::Relay => return self.relay_report(request, owner.node.clone(), report),
+                Route::Relay => return self.relay_report(request, owner.clone(), report),
                 Route::Elsewhere => return self.send_elsewhere(request, &owner.node.clone()),
                 Route::Owner => {}
             }
@@ -158,7 +158,11 @@
         }
         if let Some(owner) = owner.as_ref().filter(|owner| self.awaits_hand_over(&report, owner)) {
             let owner = owner.clone();
-            return self.await_hand_over(request, report, &owner);
+            return self.await_map(request, report, &owner, WaitsFor::HandOver);
+        }
+        if let Some(owner) = owner.as_ref().filter(|owner| self.is_overtaken(&report, owner)) {
+            let owner = owner.clone();
+            return self.await_map(request, report, &owner, WaitsFor::Change);
         }
         // A machine without an owner is the leader's to place.
         let leader = || self.view.leader().map(|leader| leader.record.node.clone());
@@ -190,13 +194,26 @@
         self.is_unreachable_owner(&owner.node, owner.incarnation) || (suspected && comes_from_owner)
     }
 
+    /// Whether the map that is known here is older than what the worker has seen, or may be since the state
+    /// service serves others only. Such a map led workers to owners that had lost them.
+    fn is_overtaken(&self, report: &Report, owner: &MapOwner) -> bool {
+        let cut_off = !self.has_state() && self.peers.with_state(self.io.now).is_some();
+        self.acts_on_failures() && (report.token > owner.term || cut_off)
+    }
+
     /// The worker waits here for the map. Where the state service is not heard the map does not change:
     /// then it goes on at once.
-    fn await_hand_over(&mut self, request: RequestId, report: Report, owner: &MapOwner) {
+    fn await_map(
+        &mut self,
+        request: RequestId,
+        report: Report,
+        owner: &MapOwner,
+        waits_for: WaitsFor,
+    ) {
         if self.waiting_reports.are_full() || !self.has_state() {
             return self.send_to_reachable(request);
         }
-        self.wait_for_map(request, report, owner, WaitsFor::HandOver);
+        self.wait_for_map(request, report, owner, waits_for);
     }
 
     /// The owner's answer, if this controller owns the machine and may act.
@@ -220,12 +237,14 @@
         self.io.answer(request, Answer::unavailable());
     }
 
-    fn relay_report(&mut self, request: RequestId, owner: Node, report: Report) {
-        tracing::debug!("{} does not reach {owner}: its report is relayed", report.machine);
-        self.peers.sent_worker(&owner, self.io.now);
-        self.peers.detector_mut().worker_left(&owner, self.io.now);
-        let pending = Pending::RelayedReport { request, owner: owner.clone() };
-        self.io.mesh(pending, &owner, MeshMessage::Report(Box::new(report)));
+    fn relay_report(&mut self, request: RequestId, owner: MapOwner, report: Report) {
+        let node = owner.node.clone();
+        tracing::debug!("{} does not reach {node}: its report is relayed", report.machine);
+        self.peers.sent_worker(&node, self.io.now);
+        self.peers.detector_mut().worker_left(&node, self.io.now);
+        let message = MeshMessage::Report(Box::new(report.clone()));
+        let pending = Pending::RelayedReport { request, owner, report: Box::new(report) };
+        self.io.mesh(pending, &node, message);
     }
 
     /// A sibling relays a report of one of our machines. It is never passed on from here, and it is
@@ -245,7 +264,8 @@
     pub(super) fn report_relayed(
         &mut self,
         request: RequestId,
-        owner: Node,
+        owner: &MapOwner,
+        report: Report,
         answer: Option<ReportAnswer>,
     ) {
         self.relays.end();
@@ -254,7 +274,11 @@
                 let body = Body::Orders(orders);
                 self.io.answer(request, Answer { status: 200, body, retry_after: None });
             }
-            None => self.send_elsewhere(request, &owner),
+            // Whoever gives up a share takes no more reports: the map is about to change.
+            None if self.acts_on_failures() => {
+                self.await_map(request, report, owner, WaitsFor::Change);
+            }
+            None => self.send_elsewhere(request, &owner.node),
         }
     }
 }
--- a/src/core/report_routing/tests.rs
+++ b/src/core/report_routing/tests.rs
@@ -1,5 +1,5 @@
 use super::super::Effect;
-use super::super::test_support::config;
+use super::super::test_support::{config, owner, report};
 use super::*;
 
 /// A worker that can't reach its owner is relayed, and sent there again now and then.
@@ -28,7 +28,8 @@
 fn a_worker_that_is_not_relayed_is_not_sent_back_to_its_owner() {
     let mut core = Core::new(config(), 1);
     core.relays.under_way = 1;
-    core.report_relayed(RequestId(1), "n1".into(), None);
+    let report = report("m-1", 1, 1, Term(9));
+    core.report_relayed(RequestId(1), &owner("n1"), report, None);
     let effects = core.io.take_effects();
     let refused = |effect: &Effect| {
         matches!(effect, Effect::Answer(RequestId(1), answer)
--- a/src/core/test_support.rs
+++ b/src/core/test_support.rs
@@ -6,7 +6,7 @@
 use super::view::{JobRecord, MAP_PREFIX, View, put};
 use crate::config::Config;
 use crate::ids::{Term, Version};
-use crate::wire::{JobSpec, JobStatus, MachineType};
+use crate::wire::{JobSpec, JobStatus, MachineType, Report};
 use rand::SeedableRng;
 use std::rc::Rc;
 
@@ -80,3 +80,19 @@
     };
     vec![of("g4", 4.0, 10.0), of("g8", 8.0, 16.0)]
 }
+
+/// The report of a machine of kind `g8` on which nothing runs.
+pub fn report(machine: &str, session: u64, seq: u64, token: Term) -> Report {
+    Report {
+        machine: machine.into(),
+        address: machine.into(),
+        type_name: "g8".into(),
+        zone: "a".into(),
+        spot: false,
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
--- a/src/core/waiting_reports.rs
+++ b/src/core/waiting_reports.rs
@@ -22,8 +22,10 @@
 pub enum WaitsFor {
     /// The machine is claimed and comes here.
     Claim,
-    /// The machine's owner has failed; who is next is not known yet.
+    /// The machine's owner has failed; who is next is not known yet. It may answer again.
     HandOver,
+    /// The machine's owner takes no reports of it any more, or has lost it: the map must name another.
+    Change,
 }
 
 /// A report that is answered once the map has changed.
@@ -31,7 +33,7 @@
     request: RequestId,
     report: Report,
     /// Who owned the machine when the report came.
-    owner: Node,
+    owner: MapOwner,
     waits_for: WaitsFor,
     until: Time,
 }
@@ -63,7 +65,7 @@
         self.report_s
             * match waits_for {
                 WaitsFor::Claim => CLAIM_WAIT_REPORTS,
-                WaitsFor::HandOver => HAND_OVER_WAIT_REPORTS,
+                WaitsFor::HandOver | WaitsFor::Change => HAND_OVER_WAIT_REPORTS,
             }
     }
 }
@@ -88,7 +90,7 @@
         waits_for: WaitsFor,
     ) {
         let until = self.io.now + self.waiting_reports.wait(waits_for);
-        let owner = owner.node.clone();
+        let owner = owner.clone();
         let waiting = WaitingReport { request, report, owner, waits_for, until };
         self.waiting_reports.reports.push(waiting);
         self.view.want_sync();
@@ -118,10 +120,14 @@
             self.peers.detector().stage(&owner.node) == Stage::Alive
                 && !self.is_unreachable_owner(&owner.node, owner.incarnation)
         };
-        match owner.filter(answers) {
-            Some(owner) if waiting.waits_for == WaitsFor::HandOver => {
-                Turn::Redirect(owner.node.clone())
-            }
+        let changed = |owner: &MapOwner| owner.term != waiting.owner.term;
+        let leads_on = |owner: &&MapOwner| match waiting.waits_for {
+            WaitsFor::Claim => false,
+            WaitsFor::HandOver => true,
+            WaitsFor::Change => changed(owner),
+        };
+        match owner.filter(answers).filter(leads_on) {
+            Some(owner) => Turn::Redirect(owner.node.clone()),
             _ if self.io.now >= waiting.until => Turn::GiveUp,
             _ => Turn::Wait,
         }
@@ -144,8 +150,8 @@
 
     fn give_up_waiting(&mut self, waiting: WaitingReport) {
         match waiting.waits_for {
-            WaitsFor::Claim => self.send_elsewhere(waiting.request, &waiting.owner),
-            WaitsFor::HandOver => self.send_to_reachable(waiting.request),
+            WaitsFor::Claim => self.send_elsewhere(waiting.request, &waiting.owner.node),
+            WaitsFor::HandOver | WaitsFor::Change => self.send_to_reachable(waiting.request),
         }
     }
 
--- a/tests/failures/pairs.rs
+++ b/tests/failures/pairs.rs
@@ -43,6 +43,11 @@
                     for other in 1..CONTROLLERS {
                         let (tasks, rules) = play_pair(seed, (first, second), apart, other);
                         lost.push(tasks);
+                        if tasks > 0 {
+                            println!(
+                                "  seed {seed}, {apart} s apart, second {other} on: {tasks} tasks"
+                            );
+                        }
                         let named = |rule| format!("{first:?}, {apart} s, {second:?}: {rule}");
                         broken.extend(rules.into_iter().map(named));
                     }
