ochredrum status tells what each controller thinks of the others and which hand-overs wait

Need: on-call could not see whether a controller is taken for failed, by whom, and what a hand-over waits for. Change: stages with evidence and its age, others' opinions, hand-overs with what they wait for; tables and JSON, the answers of tests are validated against the published schema (jsonschema). A load test counts false suspicions.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -29,7 +29,7 @@
     CheckConfig { file: PathBuf },
     /// Check a features file and end.
     CheckFeatures { file: PathBuf },
-    /// Ask a running controller who may use how much of the teams' limits.
+    /// Ask a running controller who may use how much of the teams' limits, and which controllers it takes for failed.
     Status {
         /// The controller's `mesh_addr`.
         #[arg(long, value_name = "IP:PORT")]
--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -258,6 +258,11 @@
         self.consents.keys().cloned().collect()
     }
 
+    /// Controllers that have consented to the hand-over of a process's share by hello, and how many it takes.
+    pub fn consents_to(&self, process: &Process) -> (usize, usize) {
+        (self.consents.get(process).map_or(0, BTreeSet::len), self.majority)
+    }
+
     pub fn consented(&mut self, from: &Node, processes: &[Process]) {
         for process in processes {
             if let Some(consents) = self.consents.get_mut(process) {
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -1,14 +1,18 @@
 //! What this controller tells operators ([`crate::status`]).
 
+use super::authority::Process;
 use super::team_grants::{Basis, TeamGrant, are_on};
 use super::view::StoredLedger;
 use super::{Answer, Body, Core, RequestId};
 use crate::config::TeamLimits;
-use crate::ids::Term;
+use crate::ids::{Node, Term};
 use crate::status::{
-    BasisStatus, Capacity, GrantStatus, OwnedTeamStatus, RecordState, Status, TeamStatus,
+    BasisStatus, Capacity, GrantStatus, HandOverStatus, HandOverWait, OpinionStatus,
+    OwnedTeamStatus, RecordState, SiblingStatus, StageStatus, Status, TeamStatus,
 };
+use failure_detector::{Evidence, Stage};
 use quota_ledger::Amount;
+use std::collections::BTreeMap;
 
 impl Core {
     /// An operator asks.
@@ -27,9 +31,69 @@
             entitled,
             grants_on: are_on(&self.config),
             teams: self.config.deployment.teams.iter().map(|t| self.team_status(t)).collect(),
+            detection_on: self.acts_on_failures(),
+            siblings: self.sibling_statuses(),
+            hand_overs: self.hand_over_statuses(),
         }
     }
 
+    fn sibling_statuses(&self) -> Vec<SiblingStatus> {
+        let now = self.io.now;
+        let detector = self.peers.detector();
+        let status = |(node, evidence): (Node, Evidence)| {
+            let told = detector.told_of(&node, now).into_iter();
+            let told = told.map(|(observer, opinion, age_s)| OpinionStatus {
+                observer: observer.to_string(),
+                suspects: opinion.suspects,
+                silence_s: opinion.silence_s,
+                age_s,
+            });
+            SiblingStatus {
+                controller: node.to_string(),
+                stage: stage(evidence.stage),
+                incarnation: evidence.incarnation.map(|incarnation| incarnation.0),
+                silence_s: evidence.silence_s,
+                threshold_s: evidence.threshold_s,
+                last_message_s: evidence.last_message_s,
+                votes: evidence.votes,
+                key_gone: evidence.key_gone,
+                workers_left: evidence.workers_left,
+                told: told.collect(),
+            }
+        };
+        detector.evidence(now).into_iter().map(status).collect()
+    }
+
+    /// Processes that own something though they have failed or their keys have gone.
+    fn hand_over_statuses(&self) -> Vec<HandOverStatus> {
+        let owners = self.view.owners();
+        let mut owned: BTreeMap<Process, (usize, usize)> = BTreeMap::new();
+        for owner in owners.teams.values() {
+            owned.entry((owner.node.clone(), owner.incarnation)).or_default().0 += 1;
+        }
+        for owner in owners.machines.values() {
+            owned.entry((owner.node.clone(), owner.incarnation)).or_default().1 += 1;
+        }
+        let status = |(process, (teams, machines)): (Process, (usize, usize))| {
+            let waits_for = self.hand_over_wait(&process)?;
+            let (controller, incarnation) = (process.0.to_string(), process.1);
+            Some(HandOverStatus { controller, incarnation, teams, machines, waits_for })
+        };
+        owned.into_iter().filter_map(status).collect()
+    }
+
+    fn hand_over_wait(&self, process: &Process) -> Option<HandOverWait> {
+        if self.view.is_registered(&process.0, process.1) {
+            let failed = self.peers.detector().has_failed(&process.0);
+            return failed.then_some(HandOverWait::Key);
+        }
+        if self.leader.is_none() {
+            return Some(HandOverWait::Leader);
+        }
+        let (given, needed) = self.authority.consents_to(process);
+        Some(HandOverWait::Consents { given, needed })
+    }
+
     fn team_status(&self, limits: &TeamLimits) -> TeamStatus {
         let since = self.view.grants_kept_since(&limits.name);
         let stored = self.view.ledger(&limits.name);
@@ -70,6 +134,15 @@
     }
 }
 
+fn stage(stage: Stage) -> StageStatus {
+    match stage {
+        Stage::Alive => StageStatus::Alive,
+        Stage::Suspected => StageStatus::Suspected,
+        Stage::Confirmed => StageStatus::Confirmed,
+        Stage::HandedOver => StageStatus::HandedOver,
+    }
+}
+
 fn capacity(amount: &Amount) -> Capacity {
     let (cpus, gpus) = amount.units();
     Capacity { cpus, gpus }
--- a/src/status.rs
+++ b/src/status.rs
@@ -1,5 +1,5 @@
-//! What a controller tells operators of team limits: read-only, JSON on the listener between
-//! controllers, and a table on the command line.
+//! What a controller tells operators of team limits and of failed controllers: read-only, JSON on the
+//! listener between controllers, and tables on the command line.
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -25,6 +25,99 @@
     pub grants_on: bool,
     /// All teams of the settings.
     pub teams: Vec<TeamStatus>,
+    /// Whether it acts on failures that are detected.
+    #[serde(default)]
+    pub detection_on: bool,
+    /// The other controllers, as it judges them.
+    #[serde(default)]
+    pub siblings: Vec<SiblingStatus>,
+    /// Shares of controllers that have failed.
+    #[serde(default)]
+    pub hand_overs: Vec<HandOverStatus>,
+}
+
+/// Another controller, as the one that answers judges it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct SiblingStatus {
+    /// Its name.
+    pub controller: String,
+    /// The judgement.
+    pub stage: StageStatus,
+    /// The process that answered last, if one did.
+    pub incarnation: Option<u64>,
+    /// Seconds since its last answer.
+    pub silence_s: f64,
+    /// Seconds of silence after which it is suspected.
+    pub threshold_s: f64,
+    /// Seconds since a message of its own arrived. Young while `silence_s` is old: one direction is cut.
+    pub last_message_s: Option<f64>,
+    /// Controllers that do not hear it, the one that answers among them.
+    pub votes: usize,
+    /// Whether its key in the state service has gone.
+    pub key_gone: bool,
+    /// Whether workers that left it came here lately.
+    pub workers_left: bool,
+    /// What others told of it.
+    pub told: Vec<OpinionStatus>,
+}
+
+/// How far the failure of a controller is established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum StageStatus {
+    /// It answers.
+    Alive,
+    /// The controller that answers does not hear it.
+    Suspected,
+    /// A quorum does not hear it, or the one that answers does not and its key has gone.
+    Confirmed,
+    /// Confirmed, and it owns nothing any more.
+    HandedOver,
+}
+
+/// What one controller told of another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct OpinionStatus {
+    /// Who told it.
+    pub observer: String,
+    /// Whether it suspects the other.
+    pub suspects: bool,
+    /// Seconds for which it had not heard the other then.
+    pub silence_s: f64,
+    /// Seconds since it told that.
+    pub age_s: f64,
+}
+
+/// The share of a process that has failed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct HandOverStatus {
+    /// The controller.
+    pub controller: String,
+    /// Its process.
+    pub incarnation: u64,
+    /// Teams and machines that the map still gives to it.
+    pub teams: usize,
+    /// The machines.
+    pub machines: usize,
+    /// What the hand-over waits for.
+    pub waits_for: HandOverWait,
+}
+
+/// What a hand-over waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum HandOverWait {
+    /// The process's key in the state service, which goes with its lease.
+    Key,
+    /// The word of a majority that none of them vouches for the process.
+    Consents {
+        /// How many have given it.
+        given: usize,
+        /// How many it takes.
+        needed: usize,
+    },
+    /// The leader, which is another controller.
+    Leader,
 }
 
 /// CPUs and GPUs.
@@ -139,27 +232,85 @@
             "STATE",
         ];
         let rows: Vec<[String; 9]> = self.teams.iter().map(TeamStatus::row).collect();
-        let width = |column: usize| {
-            let cells = rows.iter().map(|row| row[column].chars().count());
-            cells.chain([header[column].len()]).max().unwrap_or(0)
-        };
-        let widths: Vec<usize> = (0..header.len()).map(width).collect();
-        let mut line = |cells: &[&str]| {
-            for (cell, width) in cells.iter().zip(&widths) {
-                // Writing to a string can't fail.
-                write!(text, "{cell:<width$}  ").ok();
-            }
-            text.truncate(text.trim_end().len());
+        text.push_str(&aligned(header, &rows));
+        if !self.siblings.is_empty() {
+            let header = ["CONTROLLER", "STAGE", "SILENT", "VOTES", "KEY", "OTHERS HEAR IT"];
+            let rows: Vec<[String; 6]> = self.siblings.iter().map(SiblingStatus::row).collect();
             text.push('\n');
-        };
-        line(&header);
-        for row in &rows {
-            line(&row.each_ref().map(String::as_str));
+            text.push_str(&aligned(header, &rows));
+        }
+        if !self.hand_overs.is_empty() {
+            let header = ["FAILED", "TEAMS", "MACHINES", "WAITS FOR"];
+            let rows: Vec<[String; 4]> = self.hand_overs.iter().map(HandOverStatus::row).collect();
+            text.push('\n');
+            text.push_str(&aligned(header, &rows));
         }
         text
     }
 }
 
+/// Lines of columns, each as wide as its widest cell.
+fn aligned<const COLUMNS: usize>(header: [&str; COLUMNS], rows: &[[String; COLUMNS]]) -> String {
+    let width = |column: usize| {
+        let cells = rows.iter().map(|row| row[column].chars().count());
+        cells.chain([header[column].len()]).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..COLUMNS).map(width).collect();
+    let mut text = String::new();
+    let mut line = |cells: &[&str]| {
+        for (cell, width) in cells.iter().zip(&widths) {
+            // Writing to a string can't fail.
+            write!(text, "{cell:<width$}  ").ok();
+        }
+        text.truncate(text.trim_end().len());
+        text.push('\n');
+    };
+    line(&header);
+    for row in rows {
+        line(&row.each_ref().map(String::as_str));
+    }
+    text
+}
+
+impl SiblingStatus {
+    fn row(&self) -> [String; 6] {
+        let stage = match self.stage {
+            StageStatus::Alive => "alive",
+            StageStatus::Suspected => "suspected",
+            StageStatus::Confirmed => "confirmed failed",
+            StageStatus::HandedOver => "handed over",
+        };
+        let told = self.told.iter().map(OpinionStatus::text).collect::<Vec<_>>();
+        [
+            self.controller.clone(),
+            stage.into(),
+            format!("{:.1} of {:.1} s", self.silence_s, self.threshold_s),
+            self.votes.to_string(),
+            if self.key_gone { "gone".into() } else { "there".into() },
+            if told.is_empty() { "-".into() } else { told.join(", ") },
+        ]
+    }
+}
+
+impl OpinionStatus {
+    fn text(&self) -> String {
+        let hears = if self.suspects { "no" } else { "yes" };
+        format!("{} {hears} ({:.1} s ago)", self.observer, self.age_s)
+    }
+}
+
+impl HandOverStatus {
+    fn row(&self) -> [String; 4] {
+        let waits_for = match self.waits_for {
+            HandOverWait::Key => "its key to go".into(),
+            HandOverWait::Consents { given, needed } => format!("consents, {given} of {needed}"),
+            HandOverWait::Leader => "the leader".into(),
+        };
+        let (teams, machines) = (self.teams.to_string(), self.machines.to_string());
+        [self.controller.clone(), teams, machines, waits_for]
+    }
+}
+
 impl TeamStatus {
     fn row(&self) -> [String; 9] {
         let sum = |current: bool| {
--- a/src/status/tests.rs
+++ b/src/status/tests.rs
@@ -31,16 +31,51 @@
                 unknown_machines: 3,
             }),
         }],
+        detection_on: true,
+        siblings: vec![sibling("n1", StageStatus::Alive), sibling("n2", StageStatus::Confirmed)],
+        hand_overs: vec![HandOverStatus {
+            controller: "n2".into(),
+            incarnation: 3,
+            teams: 2,
+            machines: 40,
+            waits_for: HandOverWait::Consents { given: 2, needed: 3 },
+        }],
+    }
+}
+
+fn sibling(controller: &str, stage: StageStatus) -> SiblingStatus {
+    let failed = stage == StageStatus::Confirmed;
+    SiblingStatus {
+        controller: controller.into(),
+        stage,
+        incarnation: Some(3),
+        silence_s: if failed { 4.25 } else { 0.25 },
+        threshold_s: 2.0,
+        last_message_s: None,
+        votes: if failed { 3 } else { 0 },
+        key_gone: failed,
+        workers_left: failed,
+        told: vec![OpinionStatus {
+            observer: "n3".into(),
+            suspects: failed,
+            silence_s: 4.0,
+            age_s: 0.5,
+        }],
     }
 }
 
 #[test]
-fn the_table_shows_who_holds_what() {
+fn the_tables_show_who_holds_what_and_who_has_failed() {
     assert_eq!(
         status().table(),
         "n0 (process 7), leads\n\n\
          TEAM  OWNER  LIMIT   GUARANTEE  GRANTED  OTHERS  USED      UNKNOWN  STATE\n\
-         blue  n0     24 GPU  8 GPU      5 GPU    10 GPU  12.5 GPU  3        taking over\n"
+         blue  n0     24 GPU  8 GPU      5 GPU    10 GPU  12.5 GPU  3        taking over\n\n\
+         CONTROLLER  STAGE             SILENT        VOTES  KEY    OTHERS HEAR IT\n\
+         n1          alive             0.2 of 2.0 s  0      there  n3 yes (0.5 s ago)\n\
+         n2          confirmed failed  4.2 of 2.0 s  3      gone   n3 no (0.5 s ago)\n\n\
+         FAILED  TEAMS  MACHINES  WAITS FOR\n\
+         n2      2      40        consents, 2 of 3\n"
     );
 }
 
@@ -48,13 +83,37 @@
 fn the_published_schema_covers_what_is_sent() {
     let schema = serde_json::to_value(schemars::schema_for!(Status)).unwrap();
     let sent = serde_json::to_value(status()).unwrap();
-    let described = &schema["properties"];
-    for field in sent.as_object().unwrap().keys() {
-        assert!(described.get(field).is_some(), "{field}");
-    }
-    let team = &schema["$defs"]["TeamStatus"]["properties"];
-    for field in sent["teams"][0].as_object().unwrap().keys() {
-        assert!(team.get(field).is_some(), "{field}");
+    let validator = jsonschema::validator_for(&schema).unwrap();
+    assert!(validator.is_valid(&sent), "{:?}", validator.iter_errors(&sent).collect::<Vec<_>>());
+    let described = |of: &str| match of {
+        "" => schema["properties"].clone(),
+        name => schema["$defs"][name]["properties"].clone(),
+    };
+    for (name, part) in [
+        ("", &sent),
+        ("TeamStatus", &sent["teams"][0]),
+        ("SiblingStatus", &sent["siblings"][0]),
+        ("OpinionStatus", &sent["siblings"][0]["told"][0]),
+        ("HandOverStatus", &sent["hand_overs"][0]),
+    ] {
+        for field in part.as_object().unwrap().keys() {
+            assert!(described(name).get(field).is_some(), "{name} {field}");
+        }
     }
+    let mut wrong = sent.clone();
+    wrong["siblings"][0]["stage"] = "dead".into();
+    assert!(!validator.is_valid(&wrong));
     assert_eq!(serde_json::from_value::<Status>(sent).unwrap(), status());
 }
+
+/// What the version before told, without siblings, can be read.
+#[test]
+fn an_answer_of_an_earlier_version_is_read() {
+    let mut earlier = serde_json::to_value(status()).unwrap();
+    let fields = earlier.as_object_mut().unwrap();
+    for field in ["detection_on", "siblings", "hand_overs"] {
+        fields.remove(field);
+    }
+    let read = serde_json::from_value::<Status>(earlier).unwrap();
+    assert!(!read.detection_on && read.siblings.is_empty());
+}
--- /dev/null
+++ b/tests/failures/load.rs
@@ -0,0 +1,40 @@
+//! Under load nobody who lives is suspected: users ask all controllers again and again, jobs come and go, answers of the
+//! state service get lost, and one packet in a hundred is late.
+
+use crate::script::{play, report};
+
+const CONTROLLERS: usize = 5;
+const LOADED_FROM_S: f64 = 30.0;
+/// An hour by hand: `FAILURE_LOAD_SECONDS=3600`.
+const LOADED_FOR_S: f64 = 300.0;
+const STEP_S: f64 = 0.05;
+
+#[test]
+fn nobody_is_suspected_for_load() {
+    let seconds = std::env::var("FAILURE_LOAD_SECONDS").ok().and_then(|text| text.parse().ok());
+    let seconds: f64 = seconds.unwrap_or(LOADED_FOR_S);
+    let ends = LOADED_FROM_S + seconds;
+    let mut day =
+        format!("seed 4\ncontrollers {CONTROLLERS}\nmachines 30\nat 2 job service 30 spread\n");
+    day += &format!("at 20 close_looks {seconds}\nat 25 lost_answers {seconds}\n");
+    let jobs = (seconds / 2.0) as usize;
+    for job in 0..jobs {
+        let at = 20.0 + 2.0 * job as f64;
+        day += &format!("at {at} job array 8 run=4 gpus=1\n");
+    }
+    let mut world = play(&format!("{day}until {LOADED_FROM_S}\n"));
+    world.broken.retain(|broken| !broken.starts_with("not_served"));
+    let mut suspicions = 0;
+    let mut suspected = [false; CONTROLLERS];
+    while world.now < ends {
+        world.run(world.now + STEP_S);
+        for (node, before) in suspected.iter_mut().enumerate() {
+            let now = world.is_suspected(node);
+            suspicions += usize::from(now && !*before);
+            *before = now;
+        }
+    }
+    println!("{suspicions} suspicions in {seconds} s of load, {:?}", world.work);
+    assert_eq!(suspicions, 0);
+    assert!(report("load", &world).is_none(), "{:?}", report("load", &world));
+}
