--- a/src/status.rs
+++ b/src/status.rs
@@ -62,7 +62,9 @@
 }
 
 /// How far the failure of a controller is established.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum StageStatus {
     /// It answers.
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -1,5 +1,6 @@
 //! What tests of the real program stand on: stand-ins that speak HTTP over loopback.
 
+mod failures;
 mod fleet;
 #[path = "../world/state.rs"]
 mod state;
@@ -164,6 +165,16 @@
 /// The program, ended with the test.
 pub struct Program(Child);
 
+impl Program {
+    /// Sends a signal to this process alone.
+    pub fn signal(&self, name: &str) {
+        let process = self.0.id().to_string();
+        let sent =
+            Command::new("sh").args(["-c", "kill -s \"$0\" \"$1\"", name, &process]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "SIG{name} to a child");
+    }
+}
+
 impl Drop for Program {
     fn drop(&mut self) {
         // It may have ended already.
