Scenarios have a grammar; wrong lines are refused with line and column

Need: a scenario with a word too many or an unknown one was read past, or ended a test without saying where. Change: tests/script/scenario.pest describes the form once (pest); the reader that split lines by hand is gone. Faults of links name a direction and a manner. Unit test for seven wrong lines with their places.

--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Runs every scenario in `tests/scenarios/` (their form is told in `script`), and days of random faults
+//! Runs every scenario in `tests/scenarios/` (their form is told in `script/scenario.pest`), and days of random faults
 //! with fixed seeds.
 //!
 //! All rules are checked as things happen; in the end everything asked for must be served.
@@ -32,6 +32,28 @@
     assert!(failures.is_empty(), "{}", failures.join("\n\n"));
 }
 
+/// What is no scenario is refused with its place; what nobody knows once was read past, or ended a test without one.
+#[test]
+fn wrong_lines_are_refused_with_their_place() {
+    for (text, line, column) in [
+        ("seed 1\nmachines\n", 2, 9),
+        ("at 5 upgrade 12 2 last_first", 1, 19),
+        ("at 5 cut n1 workers 40 sideways", 1, 24),
+        ("at 5 cut n1 workers 40 in reset", 1, 27),
+        ("# well\n\nat 3 job array 2 run=x", 3, 22),
+        ("at 3 expect 1 happy", 1, 15),
+        ("outage 5", 1, 1),
+    ] {
+        let error = script::statements(text).expect_err(text);
+        let at = pest::error::LineColLocation::Pos((line, column));
+        assert_eq!(error.line_col, at, "{text}: {error}");
+    }
+    let read = script::statements("  seed 2 # two\n\nat 1.5\tcut n1 all 3 reset in");
+    let words: Vec<Vec<&str>> =
+        vec![vec!["seed", "2"], vec!["at", "1.5", "cut", "n1", "all", "3", "reset", "in"]];
+    assert_eq!(read.ok(), Some(words));
+}
+
 /// The same day with team limits held by grants. Times differ a little, so what a scenario waits for
 /// need not come about at that moment; everything else has to hold.
 fn report_with_grants(name: &str, day: &str) -> Option<String> {
--- a/tests/script/mod.rs
+++ b/tests/script/mod.rs
@@ -1,14 +1,5 @@
-//! Reads scenarios and plays them.
-//!
-//! A scenario is a text file of lines: `seed N`, `controllers N`, `limits VALUE_KB TXN_OPS`,
-//! `next_limits VALUE_KB TXN_OPS RPS WRITE_RPS` (told in the settings, in force from `at T limits_fall`),
-//! `detection_off` (controllers don't act on failures that are detected), `grants` (team limits are held by grants in the state service),
-//! `old` (all controllers begin with the version before), `machines N`, `spot N`,
-//! `without_gpus N` (there is a second kind of machine, without GPUs), `at T WHAT …`,
-//! `until T`. `at T expect JOB running` makes sure that troubles meet; `at T next_orders MACHINE FATE …`
-//! says what happens to the next direct messages to a machine. `at T cut WHO FROM SECONDS [hold|refused|reset] [in|out]`
-//! cuts connections, silently unless it says how, in one direction if it names one; `at T slow WHO PAUSE SECONDS` gives a
-//! controller a turn only every `PAUSE` seconds.
+//! Reads scenarios and plays them. Their form is told in `scenario.pest`; what does not keep to it is refused with
+//! its line and column.
 
 use super::world::{
     CutManner, Direction, Event, FAILS_AT_ONCE, Fault, Limits, MapFault, OrderFate, UpgradeOrder,
@@ -16,6 +7,19 @@
 };
 use ochredrum::ids::{Image, Team};
 use ochredrum::wire::{JobSpec, Kind, Priority};
+use pest::Parser;
+
+/// The grammar of scenarios.
+#[derive(pest_derive::Parser)]
+#[grammar = "../tests/script/scenario.pest"]
+struct ScenarioParser;
+
+/// The words of each statement.
+pub fn statements(text: &str) -> Result<Vec<Vec<&str>>, Box<pest::error::Error<Rule>>> {
+    let scenario = ScenarioParser::parse(Rule::scenario, text)?;
+    let statements = scenario.flatten().filter(|pair| pair.as_rule() == Rule::statement);
+    Ok(statements.map(|pair| pair.as_str().split_whitespace().collect()).collect())
+}
 
 pub fn spec(kind: Kind, tasks: u32) -> JobSpec {
     JobSpec {
@@ -251,11 +255,10 @@
         let debug = tracing_subscriber::fmt().with_max_level(tracing::Level::DEBUG);
         debug.without_time().with_ansi(false).try_init().ok();
     }
-    let lines: Vec<Vec<&str>> = text
-        .lines()
-        .map(|line| line.split('#').next().unwrap_or("").split_whitespace().collect())
-        .filter(|words: &Vec<&str>| !words.is_empty())
-        .collect();
+    let lines = match statements(text) {
+        Ok(lines) => lines,
+        Err(error) => panic!("no scenario:\n{error}"),
+    };
     let seed = lines.iter().find(|w| w[0] == "seed").map_or(1, |w| number(w.get(1)) as u64);
     let controllers = lines.iter().find(|w| w[0] == "controllers");
     let controllers = controllers.map_or(3, |w| number(w.get(1)) as usize);
