--- a/review/standins/src/bin/large_gang.rs
+++ b/review/standins/src/bin/large_gang.rs
@@ -1,4 +1,5 @@
-//! Case: a gang of many small tasks is submitted while machines have room for all of them.
+//! A trial that is no case (see REPORT.md): a gang of many small tasks is submitted while machines have room for all
+//! of them.
 
 use serde_json::{Value, json};
 use standins::users::job;
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -88,6 +88,8 @@
     kept: bool,
     /// When the present stance ends by itself.
     until: Option<Instant>,
+    /// Whether it fails because the machine was faulty when it began.
+    fails: bool,
     cores: f64,
     cards: f64,
     mem: f64,
@@ -109,6 +111,8 @@
     results: BTreeMap<String, ()>,
     changed: Rc<Notify>,
     ended: bool,
+    /// While set, each task that begins fails.
+    faulty: bool,
 }
 
 /// A worker that runs until its machine is returned.
@@ -181,8 +185,16 @@
         }
         let job = beat.rsplit_once('/').map_or("", |(job, _)| job);
         let description = self.fleet.jobs.borrow().get(job).cloned();
-        let mut task =
-            Task { stance: Stance::Ended, cause: None, kept: false, until: None, cores: 0.0, cards: 0.0, mem: 0.0 };
+        let mut task = Task {
+            stance: Stance::Ended,
+            cause: None,
+            kept: false,
+            until: None,
+            fails: false,
+            cores: 0.0,
+            cards: 0.0,
+            mem: 0.0,
+        };
         match description {
             None => task.cause = Some("no_such"),
             Some(_) if self.tasks.iter().any(|((other, _), task)| *other == beat && task.stance != Stance::Ended) => {
@@ -259,7 +271,8 @@
                 Stance::Pulling => self.begin(&beat, take),
                 Stance::Waiting => self.finish(&beat, take, "incomplete"),
                 Stance::Running => {
-                    let fails = matches!(self.run_of(&beat), Some(Run::Fails(_)));
+                    let broken = self.tasks.get(&(beat.clone(), take)).is_some_and(|task| task.fails);
+                    let fails = broken || matches!(self.run_of(&beat), Some(Run::Fails(_)));
                     self.finish(&beat, take, if fails { "error" } else { "done" });
                 }
                 Stance::Ended => {}
@@ -313,15 +326,18 @@
         if gang {
             self.fleet.gangs.borrow_mut().entry((job, take)).or_default().present.insert(beat.to_owned());
         }
+        let faulty = self.faulty;
         let until = match self.run_of(beat) {
+            _ if faulty => Some(now + Duration::from_millis(500)),
             _ if self.results.contains_key(beat) => Some(now),
             _ if gang => Some(now + Duration::from_secs_f64(self.fleet.timing.gang_wait_s)),
             Some(Run::For(time) | Run::Fails(time)) => Some(now + time),
             _ => None,
         };
         if let Some(task) = self.tasks.get_mut(&(beat.to_owned(), take)) {
-            task.stance = if gang { Stance::Waiting } else { Stance::Running };
+            task.stance = if gang && !faulty { Stance::Waiting } else { Stance::Running };
             task.until = until;
+            task.fails = faulty;
         }
         self.changed.notify_one();
     }
@@ -403,6 +419,7 @@
             results: BTreeMap::new(),
             changed: Rc::default(),
             ended: false,
+            faulty: false,
         }));
         let served = inner.clone();
         let server = spawn_local(serve(listener, MAX_CONNECTIONS, move |request| command(served.clone(), request)));
@@ -434,6 +451,13 @@
         self.inner.borrow().yard.clone()
     }
 
+    /// Sets whether each task that begins on the machine fails.
+    pub fn set_faulty(&self, faulty: bool) {
+        let mut inner = self.inner.borrow_mut();
+        inner.faulty = faulty;
+        inner.line(if faulty { "fails every task from now on".into() } else { "works again".into() });
+    }
+
     /// CPUs, GPUs and GB of memory that no task uses.
     pub fn free(&self) -> (f64, f64, f64) {
         let inner = self.inner.borrow();
