--- a/review/standins/src/bin/avoided.rs
+++ b/review/standins/src/bin/avoided.rs
@@ -1,4 +1,5 @@
-//! Case: a machine fails every task for some seconds; it is the only one that a job may use.
+//! A trial that is no case (see REPORT.md): a machine fails every task for some seconds; it is the only one that a job
+//! may use.
 
 use serde_json::{Value, json};
 use standins::users::job;
--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -37,7 +37,7 @@
             .filter(|worker| worker.id().as_str() > from)
             .map(|worker| {
                 json!({"nameId": worker.id(), "address": worker.address(), "breed": worker.breed(),
-                    "yard": worker.yard(), "loaners": false, "stance": "running", "heldS": held})
+                    "yard": worker.yard(), "loaners": false, "stance": worker.stance(), "heldS": held})
             })
             .collect();
         json!({"drumheads": listed, "more": false})
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -99,6 +99,7 @@
 pub struct Deployment {
     pub record: Record,
     pub state: Rc<RefCell<state::State>>,
+    pub cloud: Rc<cloud::Cloud>,
     pub platform: Rc<platform::Platform>,
     pub fleet: Rc<worker::Fleet>,
     pub workers: Vec<worker::Worker>,
@@ -124,7 +125,15 @@
         platform.start_all();
         platform.keep_running(Duration::from_secs(6));
         let users = users::Users::new(record, platform.fronts.clone());
-        Self { record: record.clone(), state, platform, fleet, workers, users }
+        Self { record: record.clone(), state, cloud, platform, fleet, workers, users }
+    }
+
+    /// A further machine comes up.
+    pub async fn add_machine(&self, id: &str, yard: &str) -> worker::Worker {
+        let worker = worker::Worker::start(&self.fleet, id, "monsoon-96", yard, (96.0, 8.0, 576.0)).await;
+        self.cloud.add(worker.clone());
+        self.record.say(format!("{id} comes up"));
+        worker
     }
 
     /// Submits a job and waits until all its tasks run. Returns false if that takes longer than 20 s.
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -110,9 +110,16 @@
     tasks: BTreeMap<(String, u64), Task>,
     results: BTreeMap<String, ()>,
     changed: Rc<Notify>,
-    ended: bool,
+    /// When the machine died on its own or was returned.
+    ended: Option<Instant>,
     /// While set, each task that begins fails.
     faulty: bool,
+    /// GB of images fetched in a second; 0: any image takes 0.4 s.
+    pull_gb_per_s: f64,
+    /// The images that the machine has.
+    cached: BTreeSet<String>,
+    /// The images that are being fetched, and when each is there.
+    fetches: BTreeMap<String, Instant>,
 }
 
 /// A worker that runs until its machine is returned.
@@ -213,7 +220,7 @@
                     && used.2 + task.mem <= self.room.2 + 1e-6;
                 if fits {
                     task.stance = Stance::Pulling;
-                    task.until = Some(Instant::now() + Duration::from_millis(400));
+                    task.until = Some(self.fetch(&description.spec));
                 } else {
                     task.cause = Some("no_room");
                 }
@@ -224,6 +231,36 @@
         self.changed.notify_one();
     }
 
+    /// Begins the fetch of a job's image unless it is under way. Returns when the image is there.
+    fn fetch(&mut self, spec: &Value) -> Instant {
+        let now = Instant::now();
+        if self.pull_gb_per_s <= 0.0 {
+            return now + Duration::from_millis(400);
+        }
+        let image = spec["pressing"].as_str().unwrap_or_default().to_owned();
+        if self.cached.contains(&image) {
+            return now;
+        }
+        let needed = Duration::from_secs_f64(spec["sizeGb"].as_f64().unwrap_or_default() / self.pull_gb_per_s);
+        *self.fetches.entry(image).or_insert(now + needed)
+    }
+
+    fn image_of(&self, beat: &str) -> Option<String> {
+        let job = beat.rsplit_once('/')?.0;
+        self.fleet.jobs.borrow().get(job).and_then(|each| each.spec["pressing"].as_str().map(str::to_owned))
+    }
+
+    /// Gives up the fetches for which no task waits any more.
+    fn give_up_fetches(&mut self) {
+        let pulling = self.tasks.iter().filter(|(_, task)| task.stance == Stance::Pulling);
+        let wanted: BTreeSet<String> = pulling.filter_map(|((beat, _), _)| self.image_of(beat)).collect();
+        let given_up: Vec<String> = self.fetches.keys().filter(|image| !wanted.contains(*image)).cloned().collect();
+        for image in given_up {
+            self.line(format!("fetch of {image} given up"));
+            self.fetches.remove(&image);
+        }
+    }
+
     /// Takes a task off the machine.
     fn finish(&mut self, beat: &str, take: u64, cause: &'static str) {
         self.line(format!("{beat} take {take} ended: {cause}"));
@@ -235,6 +272,7 @@
             task.cause = Some(cause);
             task.until = None;
         }
+        self.give_up_fetches();
         if cause == "done" {
             self.results.insert(beat.to_owned(), ());
         }
@@ -320,6 +358,10 @@
     /// A task has its image.
     fn begin(&mut self, beat: &str, take: u64) {
         let now = Instant::now();
+        if let Some(image) = self.image_of(beat) {
+            self.fetches.remove(&image);
+            self.cached.insert(image);
+        }
         let job = beat.rsplit_once('/').map_or("", |(job, _)| job).to_owned();
         let gang = self.fleet.gang_size(&job).is_some();
         self.fleet.arrive(&self.id, beat);
@@ -394,6 +436,14 @@
         machines.push(machine.to_owned());
     }
 
+    /// Whether all tasks of a gang run together.
+    pub fn gang_runs(&self, job: &str) -> bool {
+        let size = self.gang_size(job);
+        let gangs = self.gangs.borrow();
+        let mut attempts = gangs.iter().filter(|((name, _), _)| name == job).map(|(_, gang)| gang);
+        attempts.any(|gang| gang.begun.is_some() && !gang.broken && Some(gang.present.len() as u64) == size)
+    }
+
     /// Whether a task is on any machine.
     pub fn runs(&self, beat: &str) -> bool {
         self.on_machine.borrow().get(beat).is_some_and(|machines| !machines.is_empty())
@@ -418,8 +468,11 @@
             tasks: BTreeMap::new(),
             results: BTreeMap::new(),
             changed: Rc::default(),
-            ended: false,
+            ended: None,
             faulty: false,
+            pull_gb_per_s: 0.0,
+            cached: BTreeSet::new(),
+            fetches: BTreeMap::new(),
         }));
         let served = inner.clone();
         let server = spawn_local(serve(listener, MAX_CONNECTIONS, move |request| command(served.clone(), request)));
@@ -447,10 +500,23 @@
         self.inner.borrow().breed.clone()
     }
 
+    /// What the cloud lists: a machine that dies is still listed as running for 30 s more.
+    pub fn stance(&self) -> &'static str {
+        let ended = self.inner.borrow().ended;
+        if ended.is_some_and(|ended| ended.elapsed() > Duration::from_secs(30)) { "failed" } else { "running" }
+    }
+
     pub fn yard(&self) -> String {
         self.inner.borrow().yard.clone()
     }
 
+    /// Sets the rate at which the machine fetches images, and images that it has from earlier work.
+    pub fn set_images(&self, pull_gb_per_s: f64, cached: &[&str]) {
+        let mut inner = self.inner.borrow_mut();
+        inner.pull_gb_per_s = pull_gb_per_s;
+        inner.cached.extend(cached.iter().map(|image| (*image).to_owned()));
+    }
+
     /// Sets whether each task that begins on the machine fails.
     pub fn set_faulty(&self, faulty: bool) {
         let mut inner = self.inner.borrow_mut();
@@ -469,7 +535,7 @@
     pub fn end(&self) {
         self.aborts.borrow().iter().for_each(AbortHandle::abort);
         let mut inner = self.inner.borrow_mut();
-        inner.ended = true;
+        inner.ended = Some(Instant::now());
         for ((beat, take), task) in std::mem::take(&mut inner.tasks) {
             if matches!(task.stance, Stance::Waiting | Stance::Running) {
                 leave(&inner.fleet, &inner.id, &beat, take, false);
