Core steps that are slow or do not end are reported

Change: the core publishes the step and its stage (StepProgress); a thread of its own reports a step that spans several checks, with the stage, and the service reports a step that was slow, with its inputs and visits. Jobs and dependencies that the dependency index examines are counted (Dependencies::visits) and belong to Core::work_counts.

--- a/src/core/controller/inputs.rs
+++ b/src/core/controller/inputs.rs
@@ -4,11 +4,13 @@
 use crate::core::effects::pending::Pending;
 use crate::core::effects::{CallId, CloudReply, Input, StoreReply, WorkerReply};
 use crate::core::model::time::Time;
+use crate::core::progress::StepStage;
 use crate::wire::Write;
 
 impl Core {
     /// Handles one input. Replies to calls that are no longer pending are ignored.
     pub(crate) fn handle_input(&mut self, input: Input) {
+        self.progress.enter(stage_of(&input));
         match input {
             Input::User(request, operation) => self.handle_user_request(request, operation),
             Input::Health(request) => self.answer_health_check(request),
@@ -125,3 +127,16 @@
         }
     }
 }
+
+/// The stage in which an input of this kind is handled.
+fn stage_of(input: &Input) -> StepStage {
+    match input {
+        Input::User(..) => StepStage::UserRequest,
+        Input::Health(_) | Input::Status(_) => StepStage::Inspection,
+        Input::Heartbeat(..) => StepStage::Heartbeat,
+        Input::Mesh(..) | Input::MeshReply(..) => StepStage::SiblingMessage,
+        Input::Store(..) => StepStage::StoreReply,
+        Input::Cloud(..) => StepStage::CloudReply,
+        Input::Worker(..) => StepStage::WorkerReply,
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod messages;
 pub mod model;
+pub mod progress;
 pub mod records;
 pub mod scheduling;
 pub mod shard;
@@ -33,6 +34,7 @@
 use crate::core::membership::process_pause::ProcessPause;
 use crate::core::messages::shard_update::{ImageHints, MachineContacts};
 use crate::core::model::time::Time;
+use crate::core::progress::{StepProgress, StepStage};
 use crate::core::scheduling::catalog::Catalog;
 use crate::core::shard::Shard;
 use crate::core::store::replica::StoreReplica;
@@ -41,6 +43,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// High bits of the random incarnation that stay zero. A JSON number represents integers of 53 bits exactly;
 /// the shorter incarnation leaves room for the increment at each step-down.
@@ -70,6 +73,7 @@
     detection: FailureDetection,
     deferred_heartbeats: DeferredHeartbeats,
     contacts: MachineContacts,
+    progress: Arc<StepProgress>,
 }
 
 impl Core {
@@ -96,6 +100,7 @@
             detection: FailureDetection::default(),
             deferred_heartbeats: DeferredHeartbeats::new(&config),
             contacts: MachineContacts::default(),
+            progress: Arc::default(),
             config,
         }
     }
@@ -103,6 +108,7 @@
     /// Handles a batch of inputs, performs all work that is due, and returns the effects. `now` is the time
     /// of the monotonic clock in seconds. `wall_ms` is the Unix time in milliseconds.
     pub fn step(&mut self, now: Time, wall_ms: u64, batch: Vec<Input>) -> Vec<Effect> {
+        self.progress.begin_step();
         self.outbox.begin_step(now, wall_ms);
         self.peers.detector_mut().begin_step(now);
         if let Some(paused) = self.process_pause.record_step(now) {
@@ -112,6 +118,7 @@
             self.handle_input(input);
         }
         self.advance();
+        self.progress.enter(StepStage::Idle);
         self.outbox.take_effects()
     }
 
@@ -133,13 +140,17 @@
         shard.map(Shard::reconciled_teams).unwrap_or_default()
     }
 
-    /// Returns two counts since the shard was created: the attempts and jobs that were examined, and the
-    /// placement rounds. The shard's computing time is proportional to them.
+    /// Returns the step and the stage that the core is executing, for other threads.
+    pub fn progress(&self) -> Arc<StepProgress> {
+        self.progress.clone()
+    }
+
+    /// Returns two counts: the attempts, jobs and dependencies that were examined, and the placement rounds.
+    /// Those of the shard are since it was created. The computing time is proportional to them.
     pub fn work_counts(&self) -> (u64, u64) {
-        self.shard
-            .as_ref()
-            .map(Shard::work_counts)
-            .unwrap_or_default()
+        let shard = self.shard.as_ref();
+        let (visits, rounds) = shard.map(Shard::work_counts).unwrap_or_default();
+        (visits + self.store.dependency_visits(), rounds)
     }
 
     /// Returns the number of starts so far that were held back because another attempt of the task may still
@@ -161,6 +172,7 @@
     /// ownership lease and the roles that depend on it, then the shard and the leader's work. The messages
     /// that contain their results come last.
     fn advance(&mut self) {
+        self.progress.enter(StepStage::Membership);
         let now = self.outbox.now;
         let catching_up = self
             .process_pause
@@ -177,6 +189,7 @@
             self.advance_leader(catching_up);
             self.inspect_acquired_machines();
         }
+        self.progress.enter(StepStage::Messages);
         self.answer_deferred_heartbeats();
         self.send_hellos_when_due();
     }
@@ -186,6 +199,7 @@
         let Some(shard) = self.shard.as_mut() else {
             return;
         };
+        self.progress.enter(StepStage::Shard);
         shard.catching_up = catching_up;
         shard.advance(
             &mut self.outbox,
@@ -193,6 +207,7 @@
             &self.catalog,
             &self.unresponsive,
         );
+        self.progress.enter(StepStage::CapacityPlanning);
         shard.plan_capacity_when_due(&self.outbox, &self.store, &self.catalog);
         if !shard.has_machines() {
             // No worker sends heartbeats to this controller, so their absence is no evidence of a failure.
@@ -207,6 +222,7 @@
         let Some(leader) = self.leader.as_mut() else {
             return;
         };
+        self.progress.enter(StepStage::Leader);
         if let Some(shard) = self.shard.as_mut() {
             leader.set_demand(&self.config.controller, shard.demand.clone());
             shard.refused_offers = leader.unavailable_offers();
--- a/src/core/store/dependencies.rs
+++ b/src/core/store/dependencies.rs
@@ -74,9 +74,16 @@
     dependency_cancelled: BTreeSet<JobId>,
     /// The urgency that each job inherits from its dependents. It is never lowered.
     inherited: BTreeMap<JobId, Urgency>,
+    /// Number of jobs and dependencies examined so far.
+    visits: u64,
 }
 
 impl Dependencies {
+    /// Number of jobs and dependencies examined so far. The computing time is proportional to it.
+    pub fn visits(&self) -> u64 {
+        self.visits
+    }
+
     /// Whether an unfinished job has a cancelled dependency, direct or transitive.
     pub fn has_cancelled_dependency(&self, id: &JobId) -> bool {
         self.dependency_cancelled.contains(id)
@@ -173,6 +180,7 @@
     /// Marks these jobs and all of their dependents as having a cancelled dependency.
     fn propagate_cancellation(&mut self, mut jobs: Vec<JobId>, changed: &mut BTreeSet<JobId>) {
         while let Some(id) = jobs.pop() {
+            self.visits += 1;
             if self.dependency_cancelled.insert(id.clone()) {
                 jobs.extend(self.dependents(&id).cloned());
                 changed.insert(id);
@@ -190,6 +198,7 @@
     ) {
         let mut to_visit = self.urgency_of_dependencies(id, record);
         while let Some((dependency, urgency)) = to_visit.pop() {
+            self.visits += 1;
             let known = job(&dependency);
             if known.is_some_and(JobRecord::is_final) {
                 continue;
--- a/src/core/store/replica.rs
+++ b/src/core/store/replica.rs
@@ -215,6 +215,11 @@
         recorded == Some(JobStatus::Cancelled) || self.has_cancelled_dependency(id)
     }
 
+    /// Number of jobs and dependencies examined so far to derive what jobs inherit from others.
+    pub fn dependency_visits(&self) -> u64 {
+        self.dependencies.visits()
+    }
+
     /// The urgency that a job inherits from its dependents. `None` if it has had no dependents.
     pub fn inherited_urgency(&self, id: &JobId) -> Option<&Urgency> {
         self.dependencies.inherited_urgency(id)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod service;
 pub mod status;
 pub mod status_client;
+pub mod step_watchdog;
 pub mod store_client;
 pub mod wire;
 pub mod worker_client;
--- a/src/service.rs
+++ b/src/service.rs
@@ -8,7 +8,7 @@
 use crate::core::Core;
 use crate::core::effects::{Effect, Input};
 use crate::inbox::Inbox;
-use crate::{front, http, mesh};
+use crate::{front, http, mesh, step_watchdog};
 use clients::Clients;
 use rand::TryRngCore;
 use rand::rngs::OsRng;
@@ -32,6 +32,8 @@
 /// Without inputs the core runs this many times per workers' lease, because some actions depend only on
 /// the time.
 const TICKS_PER_LEASE: u32 = 200;
+/// A step of the core counts as slow if it takes longer than the workers' lease divided by this.
+const SLOW_STEPS_PER_LEASE: u32 = 20;
 
 /// Why a controller cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -50,6 +52,9 @@
     /// The operating system provides no random numbers.
     #[error("cannot read random numbers from the operating system: {0}")]
     Random(String),
+    /// The operating system does not start another thread.
+    #[error("cannot start a thread: {0}")]
+    Thread(std::io::Error),
 }
 
 /// Runs a controller until the process ends.
@@ -75,7 +80,9 @@
     tracing::info!(controller = %config.controller, address = %config.front, "serving");
     let clients = Clients::new(&config, queue);
     let core = Core::new(config, seed);
-    run_core(core, inputs, lease / TICKS_PER_LEASE, clients, inbox).await;
+    step_watchdog::start(core.progress(), lease / SLOW_STEPS_PER_LEASE)
+        .map_err(ServiceError::Thread)?;
+    run_core(core, inputs, lease, clients, inbox).await;
     Ok(())
 }
 
@@ -133,15 +140,16 @@
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Runs the core on all inputs until the queue is closed.
+/// Runs the core on all inputs until the queue is closed. `lease` is that of the workers.
 async fn run_core(
     mut core: Core,
     mut inputs: mpsc::UnboundedReceiver<Input>,
-    tick: Duration,
+    lease: Duration,
     clients: Rc<Clients>,
     inbox: Rc<Inbox>,
 ) {
     let start = Instant::now();
+    let (tick, slow_step) = (lease / TICKS_PER_LEASE, lease / SLOW_STEPS_PER_LEASE);
     let mut batch = Vec::new();
     loop {
         // Up to `MAX_BATCH` queued inputs form one batch. After a tick without inputs the batch is empty.
@@ -149,8 +157,24 @@
             return;
         }
         inbox.record_taken_batch(&batch);
-        let now = start.elapsed().as_secs_f64();
-        for effect in core.step(now, unix_time_ms(), std::mem::take(&mut batch)) {
+        let began = start.elapsed();
+        let input_count = batch.len();
+        let visits_before = core.work_counts().0;
+        let effects = core.step(
+            began.as_secs_f64(),
+            unix_time_ms(),
+            std::mem::take(&mut batch),
+        );
+        let elapsed = start.elapsed() - began;
+        if elapsed > slow_step {
+            tracing::warn!(
+                seconds = %format_args!("{:.1}", elapsed.as_secs_f64()),
+                inputs = input_count,
+                visits = core.work_counts().0.saturating_sub(visits_before),
+                "a step was slow: this controller answered nothing meanwhile"
+            );
+        }
+        for effect in effects {
             match effect {
                 Effect::Answer(request, answer) => inbox.deliver_answer(request, answer),
                 Effect::MeshAnswer(request, reply) => inbox.deliver_mesh_reply(request, reply),
