A read assembles the shard map once, not once for each value

Found while going through paths on which one input makes a controller do unbounded work; nobody has met it. Cause: StoreReplica::put assembled the whole map for each value of it that a read returned, known ones included, so a read after a long pause and the first read of a large fleet cost values times machines in one step. Change: a value that changes marks the map as stale; it is assembled at the end of the read or the committed transaction. The whole suite was not run on this commit.

--- a/src/core/leader/map_writer.rs
+++ b/src/core/leader/map_writer.rs
@@ -153,8 +153,8 @@
     /// Applies committed writes to the replica and remembers their version for the next write's
     /// preconditions.
     fn apply_committed(&mut self, store: &mut StoreReplica, writes: &[Write], version: Version) {
+        store.apply_writes(writes, version);
         for write in writes {
-            store.apply_write(write, version);
             if let Write::Put { key, .. } = write {
                 self.stored_versions.insert(key.clone(), version);
             }
--- a/src/core/store/replica.rs
+++ b/src/core/store/replica.rs
@@ -33,8 +33,10 @@
     ledgers: BTreeMap<Team, StoredLedger>,
     /// The shard map, assembled from `map_chunks`.
     shard_map: ShardMap,
-    /// Number of changes of the shard map that were applied so far.
+    /// Number of times that the shard map was assembled so far.
     shard_map_changes: u64,
+    /// Whether `map_chunks` changed since the shard map was assembled.
+    shard_map_is_stale: bool,
     /// Jobs whose records changed since the last call of [`StoreReplica::take_changed_jobs`].
     changed_jobs: BTreeSet<JobId>,
     dependencies: Dependencies,
@@ -67,6 +69,7 @@
             ledgers: BTreeMap::new(),
             shard_map: ShardMap::default(),
             shard_map_changes: 0,
+            shard_map_is_stale: false,
             changed_jobs: BTreeSet::new(),
             dependencies: Dependencies::default(),
             final_states: BTreeSet::new(),
@@ -165,8 +168,8 @@
         &self.shard_map
     }
 
-    /// Number of changes of the shard map that were applied so far. A different number means that the map
-    /// changed.
+    /// Number of times that the shard map was assembled so far, once for all changes of a read or of a
+    /// transaction. A different number means that the map changed.
     pub fn shard_map_changes(&self) -> u64 {
         self.shard_map_changes
     }
--- a/src/core/store/replica/apply.rs
+++ b/src/core/store/replica/apply.rs
@@ -16,10 +16,18 @@
 impl StoreReplica {
     /// Applies a write of this process that was committed with this version, before the next read returns it.
     pub fn apply_write(&mut self, write: &Write, version: Version) {
-        match write {
-            Write::Put { key, value, .. } => self.put(key, value, version),
-            Write::Delete { key } => self.remove(key, version),
+        self.apply_writes(std::slice::from_ref(write), version);
+    }
+
+    /// Applies the writes of a transaction of this process that was committed with this version.
+    pub fn apply_writes(&mut self, writes: &[Write], version: Version) {
+        for write in writes {
+            match write {
+                Write::Put { key, value, .. } => self.put(key, value, version),
+                Write::Delete { key } => self.remove(key, version),
+            }
         }
+        self.update_shard_map();
     }
 
     /// Applies one change that a read returned.
@@ -48,10 +56,12 @@
         match store_key {
             StoreKey::Leader => replace_if_newer(&mut self.leader, value, version),
             StoreKey::MachineTypes => replace_if_newer(&mut self.machine_types, value, version),
-            StoreKey::Node(node) => insert_if_newer(&mut self.nodes, node, value, version),
+            StoreKey::Node(node) => {
+                insert_if_newer(&mut self.nodes, node, value, version);
+            }
             StoreKey::ShardMapChunk => {
-                insert_if_newer(&mut self.map_chunks, key.to_owned(), value, version);
-                self.rebuild_shard_map();
+                self.shard_map_is_stale |=
+                    insert_if_newer(&mut self.map_chunks, key.to_owned(), value, version);
             }
             StoreKey::Ledger(team) => self.put_ledger(team, value, version),
             StoreKey::Job(_) | StoreKey::Unknown => {}
@@ -126,9 +136,7 @@
                 remove_if_not_newer(&mut self.nodes, &node, version);
             }
             StoreKey::ShardMapChunk => {
-                if remove_if_not_newer(&mut self.map_chunks, key, version) {
-                    self.rebuild_shard_map();
-                }
+                self.shard_map_is_stale |= remove_if_not_newer(&mut self.map_chunks, key, version);
             }
             StoreKey::Ledger(team) => {
                 let known = self.ledgers.get(&team);
@@ -153,8 +161,12 @@
         }
     }
 
-    /// Assembles the shard map from its chunks after one of them changed.
-    fn rebuild_shard_map(&mut self) {
+    /// Assembles the shard map from its chunks if some of them changed. This examines the whole map, so a read
+    /// or a transaction does it once, after all of its changes.
+    pub(super) fn update_shard_map(&mut self) {
+        if !std::mem::take(&mut self.shard_map_is_stale) {
+            return;
+        }
         self.shard_map_changes += 1;
         let chunks = self.map_chunks.values().map(|chunk| &chunk.record);
         self.shard_map = ShardMap::from_chunks(chunks);
@@ -184,15 +196,18 @@
     }
 }
 
+/// Inserts a value unless a newer one is known or it cannot be decoded. Returns whether it was inserted.
 fn insert_if_newer<K: Ord, T: for<'de> Deserialize<'de>>(
     records: &mut BTreeMap<K, Versioned<T>>,
     key: K,
     value: &Value,
     version: Version,
-) {
-    if let Some(newer) = decode_if_newer(records.get(&key), value, version) {
-        records.insert(key, newer);
-    }
+) -> bool {
+    let Some(newer) = decode_if_newer(records.get(&key), value, version) else {
+        return false;
+    };
+    records.insert(key, newer);
+    true
 }
 
 /// Removes a record unless it is newer than the removal. Returns whether a record was removed.
@@ -212,3 +227,6 @@
     }
     removable
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/core/store/replica/reads.rs
+++ b/src/core/store/replica/reads.rs
@@ -106,6 +106,7 @@
         for change in &changes.events {
             self.apply_change(change);
         }
+        self.update_shard_map();
         self.revision = self.revision.max(changes.revision);
         self.current_as_of = sent;
         self.reads.failures = 0;
@@ -131,6 +132,7 @@
         {
             self.finish_full_read(&full_read);
         }
+        self.update_shard_map();
         self.reads.failures = 0;
         self.reads.requested = true;
     }
