Jobs of a team that is not reconciled are not examined in every step

Found while going through paths on which one input makes a controller do unbounded work; nobody has met it. Cause: reconcile_jobs took all unreconciled jobs and put them back in every step while their team waited for its machines. Change: the jobs are kept by team, and those of reconciled teams are taken. Tests: reconciliation/tests.rs, seen failing before, passes now: no visit before the team is reconciled, one for each job then. The whole suite was not run on this commit.

--- a/src/core/shard/map_changes.rs
+++ b/src/core/shard/map_changes.rs
@@ -165,6 +165,7 @@
         for team in lost {
             tracing::info!(%team, "team lost");
             self.teams.remove(&team);
+            self.unreconciled_jobs.remove(&team);
             self.jobs.retain(|_, job| job.spec.team != team);
         }
     }
--- a/src/core/shard/mod.rs
+++ b/src/core/shard/mod.rs
@@ -87,8 +87,8 @@
     pub(crate) starts_held_back: u64,
     /// Jobs whose progress or completion has yet to be recorded in the store.
     pub(crate) unrecorded: UnrecordedJobs,
-    /// Jobs with tasks that may run on machines that are not reconciled yet.
-    pub(crate) unreconciled_jobs: BTreeSet<JobId>,
+    /// Jobs with tasks that may run on machines that are not reconciled yet, by team.
+    pub(crate) unreconciled_jobs: BTreeMap<Team, BTreeSet<JobId>>,
     next_machine_check: Time,
     pub(crate) next_shard_log: Time,
     /// Number of attempts and jobs examined because an event concerned them.
@@ -141,7 +141,7 @@
             starts_in_flight: StartsInFlight::default(),
             starts_held_back: 0,
             unrecorded: UnrecordedJobs::default(),
-            unreconciled_jobs: BTreeSet::new(),
+            unreconciled_jobs: BTreeMap::new(),
             next_machine_check: now,
             next_shard_log: now,
             visits: 0,
--- a/src/core/shard/owned_jobs.rs
+++ b/src/core/shard/owned_jobs.rs
@@ -95,7 +95,8 @@
         let all_done = job.all_done();
         let exits = self.place_existing_attempts(id, &mut job);
         if job.unreconciled_count() > 0 {
-            self.unreconciled_jobs.insert(id.clone());
+            let of_team = self.unreconciled_jobs.entry(job.spec.team.clone());
+            of_team.or_default().insert(id.clone());
         }
         self.forecast.record_arrival(&job.spec, job.runnable_since);
         self.jobs.insert(id.clone(), job);
--- a/src/core/shard/reconciliation.rs
+++ b/src/core/shard/reconciliation.rs
@@ -41,17 +41,12 @@
     /// because others were lost while the team changed its owner.
     fn reconcile_jobs(&mut self) -> Vec<JobId> {
         let mut incomplete_gangs = Vec::new();
-        for id in std::mem::take(&mut self.unreconciled_jobs) {
+        for id in self.take_jobs_of_reconciled_teams() {
             self.visits += 1;
             let job = self.jobs.get_mut(&id);
             let Some(job) = job.filter(|job| job.unreconciled_count() > 0) else {
                 continue;
             };
-            let team = self.teams.get(&job.spec.team);
-            if !team.is_some_and(|owned| owned.is_reconciled()) {
-                self.unreconciled_jobs.insert(id);
-                continue;
-            }
             job.reconcile();
             self.changed_since_round = true;
             if job.is_gang() && job.placed_count() > 0 && !job.waiting().is_empty() {
@@ -61,6 +56,16 @@
         incomplete_gangs
     }
 
+    /// Takes the unreconciled jobs of teams that are reconciled. Those of the other teams are not examined.
+    fn take_jobs_of_reconciled_teams(&mut self) -> BTreeSet<JobId> {
+        let mut jobs = BTreeSet::new();
+        let teams = self.teams.iter().filter(|(_, owned)| owned.is_reconciled());
+        for (team, _) in teams {
+            jobs.extend(self.unreconciled_jobs.remove(team).into_iter().flatten());
+        }
+        jobs
+    }
+
     /// Stops all attempts of a gang that has lost a task, because the remaining tasks cannot continue.
     fn stop_incomplete_gang(&mut self, gang: &JobId) {
         let attempts: BTreeSet<Attempt> = match self.jobs.get(gang) {
@@ -78,3 +83,6 @@
         reconciled.map(|(team, _)| team.clone()).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
