Dependents whose cancellation waits are examined when it is due

Found while going through paths on which one input makes a controller do unbounded work; nobody has met it. Cause: record_dependent_cancellations went through all of them twice in every step, though the write rate lets it record a few. The whole suite was not run on this commit.

--- a/src/core/shard/mod.rs
+++ b/src/core/shard/mod.rs
@@ -9,6 +9,7 @@
 pub mod capacity_planning;
 pub mod commands;
 pub mod consolidation;
+pub mod dependent_cancellations;
 pub mod grants;
 pub mod lease_expiry;
 pub mod map_changes;
@@ -41,6 +42,7 @@
 use crate::core::scheduling::catalog::Catalog;
 use crate::core::scheduling::forecast::Forecast;
 use crate::core::scheduling::placement::Weights;
+use crate::core::shard::dependent_cancellations::DependentCancellations;
 use crate::core::shard::owned_team::OwnedTeam;
 use crate::core::shard::progress_records::{UnrecordedJobs, write_rate_per_controller};
 use crate::core::store::replica::StoreReplica;
@@ -65,8 +67,8 @@
     pub(crate) incarnation: u64,
     /// Unfinished jobs of the owned teams.
     pub(crate) jobs: BTreeMap<JobId, Job>,
-    /// Jobs to be cancelled because a dependency was cancelled, with the time at which to record that.
-    pub(crate) dependency_cancelled: BTreeMap<JobId, Time>,
+    /// Jobs to be cancelled because a dependency was cancelled.
+    pub(crate) dependent_cancellations: DependentCancellations,
     /// The owned machines, and machines of other owners that may run tasks of the owned teams.
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     /// The teams that the shard map assigns to this process.
@@ -130,7 +132,7 @@
             config: config.clone(),
             incarnation,
             jobs: BTreeMap::new(),
-            dependency_cancelled: BTreeMap::new(),
+            dependent_cancellations: DependentCancellations::default(),
             machines: BTreeMap::new(),
             teams: BTreeMap::new(),
             last_map_change: None,
--- a/src/core/shard/owned_jobs.rs
+++ b/src/core/shard/owned_jobs.rs
@@ -48,7 +48,7 @@
             return;
         }
         if store.has_cancelled_dependency(id) {
-            self.dependency_cancelled.entry(id.clone()).or_insert(now);
+            self.dependent_cancellations.add(id, now);
             return;
         }
         if let Some(job) = self.create_runnable_job(store, record, version, (now, wall_ms)) {
--- a/src/core/shard/progress_records.rs
+++ b/src/core/shard/progress_records.rs
@@ -189,49 +189,8 @@
         })
     }
 
-    /// Records the cancellation of jobs that depend on a cancelled job. Every controller derives this
-    /// cancellation from the dependency, so these writes have the lowest priority.
-    pub(crate) fn record_dependent_cancellations(
-        &mut self,
-        outbox: &mut Outbox,
-        store: &StoreReplica,
-    ) {
-        let now = outbox.now;
-        let pause = self.config.deployment.workers.report_s;
-        let is_unfinished_of_owned_team = |record: &JobRecord| {
-            let team = record.spec.as_ref().map(|spec| &spec.team);
-            !record.is_final() && team.is_some_and(|team| self.teams.contains_key(team))
-        };
-        self.dependency_cancelled.retain(|id, _| {
-            store
-                .job(id)
-                .is_some_and(|job| is_unfinished_of_owned_team(&job.record))
-        });
-        let mut batch = Vec::new();
-        for (id, not_before) in &mut self.dependency_cancelled {
-            if !outbox.may_write() {
-                break;
-            }
-            let Some(job) = store.job(id).filter(|_| now >= *not_before) else {
-                continue;
-            };
-            if !self.record_rate.take(now) {
-                break;
-            }
-            *not_before = now + outbox.jitter(pause);
-            let record = job.record.to_cancelled_unstarted(outbox.wall_ms);
-            let write = put(&job_key(id), &record, None);
-            batch.push(RecordWrite {
-                job: id.clone(),
-                version: job.version,
-                write,
-            });
-        }
-        self.commit_in_batches(outbox, batch);
-    }
-
     /// Commits records in transactions that stay within the store's limits on operations and bytes.
-    fn commit_in_batches(&self, outbox: &mut Outbox, records: Vec<RecordWrite>) {
+    pub(super) fn commit_in_batches(&self, outbox: &mut Outbox, records: Vec<RecordWrite>) {
         let max_operations = self.config.deployment.state.txn_ops;
         let mut batch = Vec::new();
         let mut bytes = 0;
