Tests of shards share a fixture; one constant for milliseconds

Cause: the new tests wrote a fixture of progress_records/tests.rs again, which stood three times before; MS_PER_S stood twice. No check changed.

--- a/src/core/shard/dependent_cancellations/tests.rs
+++ b/src/core/shard/dependent_cancellations/tests.rs
@@ -1,9 +1,6 @@
 use super::*;
-use crate::core::effects::pending::Pending;
-use crate::core::effects::{Effect, StoreCall, StoreReply};
-use crate::core::machines::unresponsive::UnresponsiveMachines;
-use crate::core::records::shard_map::ShardEntry;
-use crate::core::test_support::{apply_shard_map, owner, record, shard};
+use crate::core::effects::StoreReply;
+use crate::core::test_support::{record, shard_of_team_red, take_sent_records};
 use crate::ids::JobId;
 use std::rc::Rc;
 
@@ -15,14 +12,7 @@
 /// them record a few in a second (docs/incidents/2026-12-dependents-in-every-step.md).
 #[test]
 fn steps_examine_only_the_dependents_whose_cancellation_is_due() {
-    let (mut shard, mut outbox, mut store) = shard();
-    let shard_entry = ShardEntry {
-        owner: owner("n0"),
-        teams: vec!["red".into()],
-        machines: vec![],
-    };
-    apply_shard_map(&mut store, 5, vec![shard_entry]);
-    shard.apply_map_changes(&mut outbox, &store, &UnresponsiveMachines::default());
+    let (mut shard, mut outbox, mut store) = shard_of_team_red();
     let root = JobId::from("req-999999");
     let cancelled = record(false).to_cancelled_unstarted(0);
     store.apply_write(&put(&job_key(&root), &cancelled, None), 6);
@@ -41,12 +31,7 @@
         outbox.begin_step(step as f64 / STEPS_PER_S, 0);
         shard.record_dependent_cancellations(&mut outbox, &store);
         for effect in outbox.take_effects() {
-            let Effect::Store(call, StoreCall::Commit(_)) = effect else {
-                panic!("{effect:?}")
-            };
-            let Some(Pending::JobRecords(writes)) = outbox.take_pending(call) else {
-                panic!("not a transaction of job records")
-            };
+            let (writes, _) = take_sent_records(&mut outbox, effect);
             let reply = StoreReply::Committed(version);
             shard.handle_records_reply(&mut outbox, &mut store, writes, reply);
             version += 1;
--- a/src/core/shard/owned_jobs.rs
+++ b/src/core/shard/owned_jobs.rs
@@ -9,7 +9,7 @@
 use crate::core::jobs::job::{Job, Task};
 use crate::core::machines::machine::{Phase, TrackedAttempt};
 use crate::core::model::resources::Resources;
-use crate::core::model::time::Time;
+use crate::core::model::time::{MS_PER_S, Time};
 use crate::core::records::job_record::{JobRecord, TerminatingTasks};
 use crate::core::scheduling::opportunistic::is_opportunistic;
 use crate::core::shard::Shard;
@@ -18,9 +18,6 @@
 use crate::wire::{ExitReason, JobSpec};
 use std::rc::Rc;
 
-/// Milliseconds per second.
-const MS_PER_S: f64 = 1e3;
-
 impl Shard {
     /// Applies a job record that is new or has changed. `now` is the time of the steady clock, `wall_ms` the
     /// wall-clock time in milliseconds.
--- a/src/core/shard/progress_records/tests.rs
+++ b/src/core/shard/progress_records/tests.rs
@@ -1,34 +1,13 @@
 use super::*;
-use crate::core::effects::Effect;
 use crate::core::jobs::job::Task;
-use crate::core::machines::unresponsive::UnresponsiveMachines;
-use crate::core::records::shard_map::ShardEntry;
-use crate::core::test_support::{apply_shard_map, owner, record, shard};
+use crate::core::test_support::{record, shard_of_team_red, take_sent_records};
 use std::rc::Rc;
 
-/// Returns the pending record writes of a sent transaction together with the transaction.
-fn take_sent_records(outbox: &mut Outbox, effect: Effect) -> (Vec<RecordWrite>, Transaction) {
-    let Effect::Store(call, StoreCall::Commit(transaction)) = effect else {
-        panic!("{effect:?}")
-    };
-    let Some(Pending::JobRecords(writes)) = outbox.take_pending(call) else {
-        panic!("not a transaction of job records")
-    };
-    (writes, transaction)
-}
-
 /// A record that the store rejected for its size would be rejected again and would use up the write rate. The
 /// final record is smaller, so it is still written.
 #[test]
 fn a_record_rejected_for_its_size_is_not_retried_unchanged() {
-    let (mut shard, mut outbox, mut store) = shard();
-    let shard_entry = ShardEntry {
-        owner: owner("n0"),
-        teams: vec!["red".into()],
-        machines: vec![],
-    };
-    apply_shard_map(&mut store, 5, vec![shard_entry]);
-    shard.apply_map_changes(&mut outbox, &store, &UnresponsiveMachines::default());
+    let (mut shard, mut outbox, mut store) = shard_of_team_red();
     let id = JobId::from("req-000001");
     store.apply_write(&put(&job_key(&id), &record(false), None), 9);
     shard.apply_job_record(&store, &id, &Rc::new(record(false)), 9, (0.0, 0));
@@ -59,14 +38,7 @@
 /// each job of the transaction is written separately, so that it is not delayed by another job's conflict.
 #[test]
 fn batched_job_records_are_written_separately_after_a_conflict() {
-    let (mut shard, mut outbox, mut store) = shard();
-    let shard_entry = ShardEntry {
-        owner: owner("n0"),
-        teams: vec!["red".into()],
-        machines: vec![],
-    };
-    apply_shard_map(&mut store, 5, vec![shard_entry]);
-    shard.apply_map_changes(&mut outbox, &store, &UnresponsiveMachines::default());
+    let (mut shard, mut outbox, mut store) = shard_of_team_red();
     let id = |number: u32| JobId::from(format!("req-{number:06}"));
     for number in 0..11 {
         store.apply_write(&put(&job_key(&id(number)), &record(false), None), 9);
--- a/src/core/shard/tests.rs
+++ b/src/core/shard/tests.rs
@@ -6,7 +6,7 @@
 use crate::core::records::shard_map::{ShardEntry, ShardOwner};
 use crate::core::records::versioned::put;
 use crate::core::shard::owned_jobs::describe_terminating_attempt;
-use crate::core::test_support::{apply_shard_map, owner, record, shard};
+use crate::core::test_support::{apply_shard_map, owner, record, shard, shard_of_team_red};
 use crate::ids::{Attempt, FencingToken, TaskId, Version};
 
 /// The machine's owner may have changed without this process having read the new shard map. The new owner
@@ -543,14 +543,7 @@
 /// A deadline counts from the submission. Every other time counts from the end of the last dependency.
 #[test]
 fn waiting_for_dependencies_counts_towards_the_deadline_only() {
-    let (mut shard, mut outbox, mut store) = shard();
-    let own_entry = ShardEntry {
-        owner: owner("n0"),
-        teams: vec!["red".into()],
-        machines: vec![],
-    };
-    apply_shard_map(&mut store, 5, vec![own_entry]);
-    shard.apply_map_changes(&mut outbox, &store, &UnresponsiveMachines::default());
+    let (mut shard, _, mut store) = shard_of_team_red();
     let mut waiting = JobRecord {
         accepted_ms: 10_000,
         ..record(false)
--- a/src/core/shard/usage.rs
+++ b/src/core/shard/usage.rs
@@ -1,5 +1,6 @@
 //! Upper bound on the resources that each team may be using. Every task that may be on a machine is counted.
 
+use crate::core::model::time::MS_PER_S;
 use crate::core::scheduling::usage::Usage;
 use crate::core::shard::{OwnedTeam, Shard};
 use crate::core::store::cancelled_jobs::CancelledSince;
@@ -11,9 +12,6 @@
 /// stop, and one for clock differences and transactions that the store executes late.
 const CANCELLED_JOB_LIFETIME_PER_CANCEL_S: f64 = 2.0;
 
-/// Milliseconds per second.
-const MS_PER_S: f64 = 1e3;
-
 impl Shard {
     /// Computes the resources that this shard's teams may be using, including on machines that have not
     /// reported their tasks. `wall_ms` is the wall-clock time in milliseconds.
--- a/src/core/store/dependencies/urgency.rs
+++ b/src/core/store/dependencies/urgency.rs
@@ -1,5 +1,6 @@
 //! The urgency that jobs inherit from the jobs that depend on them.
 
+use crate::core::model::time::MS_PER_S;
 use crate::core::records::job_record::JobRecord;
 use crate::core::store::dependencies::Dependencies;
 use crate::ids::JobId;
@@ -58,7 +59,7 @@
     reason = "fractions of a millisecond are dropped; the cast saturates"
 )]
 fn seconds_to_ms(seconds: f64) -> u64 {
-    (seconds * 1e3) as u64
+    (seconds * MS_PER_S) as u64
 }
 
 impl Dependencies {
--- a/src/core/test_support.rs
+++ b/src/core/test_support.rs
@@ -3,7 +3,9 @@
 use crate::config::Config;
 use crate::core::Core;
 use crate::core::effects::outbox::Outbox;
+use crate::core::effects::pending::{Pending, RecordWrite};
 use crate::core::effects::{Effect, Input, StoreCall, StoreReply};
+use crate::core::machines::unresponsive::UnresponsiveMachines;
 use crate::core::messages::shard_update::ImageHints;
 use crate::core::model::time::Time;
 use crate::core::records::job_record::JobRecord;
@@ -15,7 +17,7 @@
 use crate::core::store::replica::StoreReplica;
 use crate::features::Features;
 use crate::ids::{ControllerName, FencingToken, Version};
-use crate::wire::{Entry, Heartbeat, JobSpec, JobStatus, Listing, MachineType, Write};
+use crate::wire::{Entry, Heartbeat, JobSpec, JobStatus, Listing, MachineType, Transaction, Write};
 use rand::SeedableRng;
 use std::rc::Rc;
 
@@ -62,6 +64,30 @@
     )
 }
 
+/// Creates a shard that owns team `red` and no machines, with a store replica whose shard map says so.
+pub fn shard_of_team_red() -> (Shard, Outbox, StoreReplica) {
+    let (mut shard, mut outbox, mut store) = shard();
+    let shard_entry = ShardEntry {
+        owner: owner("n0"),
+        teams: vec!["red".into()],
+        machines: vec![],
+    };
+    apply_shard_map(&mut store, 5, vec![shard_entry]);
+    shard.apply_map_changes(&mut outbox, &store, &UnresponsiveMachines::default());
+    (shard, outbox, store)
+}
+
+/// Returns the pending record writes of a sent transaction together with the transaction.
+pub fn take_sent_records(outbox: &mut Outbox, effect: Effect) -> (Vec<RecordWrite>, Transaction) {
+    let Effect::Store(call, StoreCall::Commit(transaction)) = effect else {
+        panic!("{effect:?}")
+    };
+    let Some(Pending::JobRecords(writes)) = outbox.take_pending(call) else {
+        panic!("not a transaction of job records")
+    };
+    (writes, transaction)
+}
+
 /// Applies a shard map of these entries to the replica, as if the leader had written it at `version`.
 pub fn apply_shard_map(store: &mut StoreReplica, version: Version, shards: Vec<ShardEntry>) {
     store.apply_write(
