A pipeline with a deadline is played in the simulator; typed counts of work

Cause: the regression tests of the dependency index drive the replica only; work counts were a tuple, which the simulator turned into a struct of its own; run_core had grown long. Change: a_pipeline_with_a_deadline_costs_in_proportion_to_its_size plays 16 stages of two and 10 of three jobs with three controllers; WorkCounts is used by core, shard and simulator; run_step is a function.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -36,7 +36,7 @@
 use crate::core::model::time::Time;
 use crate::core::progress::{StepProgress, StepStage};
 use crate::core::scheduling::catalog::Catalog;
-use crate::core::shard::Shard;
+use crate::core::shard::{Shard, WorkCounts};
 use crate::core::store::replica::StoreReplica;
 use crate::ids::{ControllerName, Team, Version};
 use failure_detector::Stage;
@@ -145,12 +145,12 @@
         self.progress.clone()
     }
 
-    /// Returns two counts: the attempts, jobs and dependencies that were examined, and the placement rounds.
-    /// Those of the shard are since it was created. The computing time is proportional to them.
-    pub fn work_counts(&self) -> (u64, u64) {
+    /// Returns the work done so far. That of the shard counts since it was created.
+    pub fn work_counts(&self) -> WorkCounts {
         let shard = self.shard.as_ref();
-        let (visits, rounds) = shard.map(Shard::work_counts).unwrap_or_default();
-        (visits + self.store.dependency_visits(), rounds)
+        let mut counts = shard.map(Shard::work_counts).unwrap_or_default();
+        counts.visits += self.store.dependency_visits();
+        counts
     }
 
     /// Returns the number of starts so far that were held back because another attempt of the task may still
--- a/src/core/shard/mod.rs
+++ b/src/core/shard/mod.rs
@@ -60,6 +60,15 @@
 /// Time after which a placement round runs even if nothing has changed, in heartbeat intervals.
 const MAX_ROUND_INTERVAL_HEARTBEATS: f64 = 0.25;
 
+/// Counts of work, to which the computing time is proportional.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkCounts {
+    /// Number of attempts, jobs and dependencies that were examined because an event concerned them.
+    pub visits: u64,
+    /// Number of placement rounds.
+    pub placement_rounds: u64,
+}
+
 /// The teams, machines and jobs of one process, and the commands and records in flight for them.
 pub struct Shard {
     pub(crate) config: Rc<Config>,
@@ -242,10 +251,12 @@
         self.write_grants(outbox, store, &usage);
     }
 
-    /// Returns the number of examined attempts and jobs, and the number of placement rounds, so far. The
-    /// shard's computing time is proportional to them.
-    pub fn work_counts(&self) -> (u64, u64) {
-        (self.visits, self.rounds)
+    /// Returns the work done so far.
+    pub fn work_counts(&self) -> WorkCounts {
+        WorkCounts {
+            visits: self.visits,
+            placement_rounds: self.rounds,
+        }
     }
 
     /// Whether this shard owns any machine.
--- a/src/service.rs
+++ b/src/service.rs
@@ -157,24 +157,8 @@
             return;
         }
         inbox.record_taken_batch(&batch);
-        let began = start.elapsed();
-        let input_count = batch.len();
-        let visits_before = core.work_counts().0;
-        let effects = core.step(
-            began.as_secs_f64(),
-            unix_time_ms(),
-            std::mem::take(&mut batch),
-        );
-        let elapsed = start.elapsed() - began;
-        if elapsed > slow_step {
-            tracing::warn!(
-                seconds = %format_args!("{:.1}", elapsed.as_secs_f64()),
-                inputs = input_count,
-                visits = core.work_counts().0.saturating_sub(visits_before),
-                "a step was slow: this controller answered nothing meanwhile"
-            );
-        }
-        for effect in effects {
+        let inputs = std::mem::take(&mut batch);
+        for effect in run_step(&mut core, start, inputs, slow_step) {
             match effect {
                 Effect::Answer(request, answer) => inbox.deliver_answer(request, answer),
                 Effect::MeshAnswer(request, reply) => inbox.deliver_mesh_reply(request, reply),
@@ -183,3 +167,27 @@
         }
     }
 }
+
+/// Runs one step of the core, and reports it if it took longer than `slow_step`. The core's clock counts from
+/// `start`.
+fn run_step(
+    core: &mut Core,
+    start: Instant,
+    inputs: Vec<Input>,
+    slow_step: Duration,
+) -> Vec<Effect> {
+    let began = start.elapsed();
+    let input_count = inputs.len();
+    let visits_before = core.work_counts().visits;
+    let effects = core.step(began.as_secs_f64(), unix_time_ms(), inputs);
+    let elapsed = start.elapsed() - began;
+    if elapsed > slow_step {
+        tracing::warn!(
+            seconds = %format_args!("{:.1}", elapsed.as_secs_f64()),
+            inputs = input_count,
+            visits = core.work_counts().visits.saturating_sub(visits_before),
+            "a step was slow: this controller answered nothing meanwhile"
+        );
+    }
+    effects
+}
--- a/tests/simulation/load.rs
+++ b/tests/simulation/load.rs
@@ -1,7 +1,8 @@
 //! Cost of load: requests to the store, traffic between controllers, and work inside them.
 
 use crate::script::{assert_no_violations, default_job, run_scenario};
-use crate::world::{CoreWork, Counters, LEASE_S};
+use crate::world::{Counters, LEASE_S};
+use ochredrum::core::shard::WorkCounts;
 use ochredrum::wire::{JobKind, JobSpec};
 
 /// When the lowered rate limits of the store take effect, requests are throttled and all leases are still
@@ -100,7 +101,7 @@
 /// Cost of the jobs of [`cost_of_dependencies`].
 #[derive(Debug)]
 struct DependencyCost {
-    work: CoreWork,
+    work: WorkCounts,
     /// Virtual time in which the work was done.
     seconds: f64,
 }
@@ -139,7 +140,7 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
     let after = world.core_work();
     DependencyCost {
-        work: CoreWork {
+        work: WorkCounts {
             visits: after.visits - before.visits,
             placement_rounds: after.placement_rounds - before.placement_rounds,
         },
@@ -166,6 +167,53 @@
     }
 }
 
+/// The visits of all controllers for a pipeline whose last job has a deadline. Each of its stages of `width` jobs
+/// needs all jobs of the stage before, and the estimates give each path to the last job a length of its own.
+fn visits_for_pipeline_with_deadline(stages: usize, width: usize) -> u64 {
+    let text = "controllers 3\nmachines 12\nat 2 job service 2 gpus=1\nuntil 30\n";
+    let mut world = run_scenario(text);
+    let (began_at, before) = (world.now, world.core_work());
+    let mut spec = default_job(JobKind::Array, 1);
+    spec.gpus = 1.0;
+    let root = world.add_job(began_at + 0.1, spec.clone(), 20.0);
+    let mut earlier_stage = vec![root];
+    let mut submit_at = began_at + 1.0;
+    for stage in 0..stages {
+        let needed = earlier_stage.iter().map(|job| world.job_id(*job));
+        spec.dependencies = needed.collect();
+        earlier_stage.clear();
+        for position in 0..width {
+            let unit_ms = width.pow(stage as u32);
+            spec.estimate_s = ((width - 1 - position) * unit_ms) as f64 / 1e3;
+            earlier_stage.push(world.add_job(submit_at, spec.clone(), 0.5));
+            submit_at += 0.05;
+        }
+    }
+    let last_stage = earlier_stage.iter().map(|job| world.job_id(*job));
+    spec.dependencies = last_stage.collect();
+    spec.deadline_s = Some(86_400.0);
+    world.add_job(submit_at + 1.0, spec, 0.5);
+    world.run_until(began_at + 200.0);
+    world.check_served();
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    world.core_work().visits - before.visits
+}
+
+/// Guards against controllers that answer nothing any more because of the last job of a pipeline
+/// (docs/incidents/2026-12-pipeline-with-deadline.md).
+#[test]
+fn a_pipeline_with_a_deadline_costs_in_proportion_to_its_size() {
+    const VISITS_PER_JOB_OR_DEPENDENCY: u64 = 100;
+    for (stages, width) in [(16, 2), (10, 3)] {
+        let visits = visits_for_pipeline_with_deadline(stages, width);
+        let jobs = 2 + stages * width;
+        let dependencies = 2 * width + (stages - 1) * width * width;
+        let bound = (jobs + dependencies) as u64 * VISITS_PER_JOB_OR_DEPENDENCY;
+        println!("{stages} stages of {width}: {visits} visits, bound {bound}");
+        assert!(visits <= bound, "{stages} of {width}: {visits} of {bound}");
+    }
+}
+
 /// A fleet of four thousand machines, most of which run two replicas, loses the controller that owns them
 /// all. Another controller takes over all of them, and requests and messages stay within the limits of the
 /// services.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -27,6 +27,7 @@
 use network::Network;
 use ochredrum::core::Core;
 use ochredrum::core::effects::{Input, RequestId};
+use ochredrum::core::shard::WorkCounts;
 use ochredrum::features::Features;
 use ochredrum::ids::{JobId, MachineId};
 use ochredrum::wire::{Heartbeat, JobSpec};
@@ -132,15 +133,6 @@
     pub lost_with_leases: usize,
 }
 
-/// Work done by the running controllers.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct CoreWork {
-    /// Attempts and jobs that were examined because of an event.
-    pub visits: u64,
-    /// Placement rounds, each of which examines a whole shard.
-    pub placement_rounds: u64,
-}
-
 impl World {
     /// Creates a simulation whose controllers start one after another, 0.1 s apart.
     pub fn new(seed: u64, controllers: usize) -> Self {
@@ -363,12 +355,12 @@
     }
 
     /// The sum of the work counters of all running controllers. A restart resets those of its controller.
-    pub fn core_work(&self) -> CoreWork {
+    pub fn core_work(&self) -> WorkCounts {
         let cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
-        let mut sum = CoreWork::default();
-        for (visits, placement_rounds) in cores.map(Core::work_counts) {
-            sum.visits += visits;
-            sum.placement_rounds += placement_rounds;
+        let mut sum = WorkCounts::default();
+        for counts in cores.map(Core::work_counts) {
+            sum.visits += counts.visits;
+            sum.placement_rounds += counts.placement_rounds;
         }
         sum
     }
