--- a/src/service.rs
+++ b/src/service.rs
@@ -1,6 +1,6 @@
 //! The process of a controller. Listeners and clients put inputs into a queue. One task owns the core: it
 //! processes the inputs in batches and passes the core's effects to the listeners and clients. Everything
-//! runs on one thread.
+//! runs on one thread, except for the watchdog that reports a step of the core that does not end.
 
 mod clients;
 
