A new cancellation of a dependent does not wait behind retries

What callers would see: after a cancellation of a job, a second one is recorded for its dependents up to 1.25 report_s later than the write rate allows. Cause: put both into one queue as if it were ordered by due time, but a retry is due later than what is added after it. Change: one queue of what was not written yet, one of retries. Tests: a_new_cancellation_is_recorded_before_earlier_ones_are_due_for_a_retry, seen failing before (nothing was recorded), passes now with the other unit tests. The whole suite was not run on this commit.

--- a/src/core/shard/dependent_cancellations.rs
+++ b/src/core/shard/dependent_cancellations.rs
@@ -14,35 +14,41 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 
-/// Jobs whose cancellation is to be recorded, each with the time before which it is not written. The queue is
-/// ordered by these times, up to the jitter of a retry.
+/// Jobs whose cancellation is to be recorded.
 #[derive(Default)]
 pub struct DependentCancellations {
-    queue: VecDeque<(Time, JobId)>,
+    /// Jobs whose cancellation was not written yet.
+    unwritten: VecDeque<JobId>,
+    /// Jobs whose cancellation was written, each with the time of the retry in case the write failed. They are
+    /// in the order of the writes, so a retry may be late by the jitter of those before it.
+    retries: VecDeque<(Time, JobId)>,
+    /// All jobs of both queues.
     queued: BTreeSet<JobId>,
 }
 
 impl DependentCancellations {
-    /// Queues a job whose cancellation is due now, unless it is queued already.
-    pub(crate) fn add(&mut self, id: &JobId, now: Time) {
+    /// Queues a job unless it is queued already.
+    pub(crate) fn add(&mut self, id: &JobId) {
         if self.queued.insert(id.clone()) {
-            self.queue.push_back((now, id.clone()));
+            self.unwritten.push_back(id.clone());
         }
     }
 
-    /// Removes and returns the first job if it is due.
+    /// Removes and returns a job that is due, if there is one. Retries come first; most of them are recorded.
     fn take_due(&mut self, now: Time) -> Option<JobId> {
-        let (_, id) = self
-            .queue
-            .pop_front_if(|(not_before, _)| *not_before <= now)?;
+        let retry = self.retries.pop_front_if(|(due, _)| *due <= now);
+        let id = match retry {
+            Some((_, id)) => id,
+            None => self.unwritten.pop_front()?,
+        };
         self.queued.remove(&id);
         Some(id)
     }
 
-    /// Queues a job again, in case its write fails.
-    fn retry(&mut self, id: JobId, not_before: Time) {
+    /// Queues a job whose cancellation was written, in case the write fails.
+    fn retry(&mut self, id: JobId, due: Time) {
         self.queued.insert(id.clone());
-        self.queue.push_back((not_before, id));
+        self.retries.push_back((due, id));
     }
 }
 
@@ -71,8 +77,8 @@
                 version: job.version,
                 write: put(&job_key(&id), &record, None),
             });
-            let not_before = now + outbox.jitter(pause);
-            self.dependent_cancellations.retry(id, not_before);
+            let retry_at = now + outbox.jitter(pause);
+            self.dependent_cancellations.retry(id, retry_at);
         }
         self.commit_in_batches(outbox, batch);
     }
--- a/src/core/shard/owned_jobs.rs
+++ b/src/core/shard/owned_jobs.rs
@@ -45,7 +45,7 @@
             return;
         }
         if store.has_cancelled_dependency(id) {
-            self.dependent_cancellations.add(id, now);
+            self.dependent_cancellations.add(id);
             return;
         }
         if let Some(job) = self.create_runnable_job(store, record, version, (now, wall_ms)) {
