--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,4 +8,4 @@
     echo "the programs aren't built" >&2
     exit 2
 fi
-exec "$trial" history .
+exec "$trial" machine-lost .
