Review: report; the batch of case 7 comes when the lost machine's lease is over

Cause: submitted earlier, the batch was started at first and stopped then, which depends on a second or two.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -215,8 +215,8 @@
     if trial.trouble {
         world.fleet.remove(&cheap[0], "taken");
     }
-    // The rest of the gang notices that one of them is gone, and ends.
-    thread::sleep(Duration::from_secs(7));
+    // The rest of the gang notices that one of them is gone, and ends; the lease of the machine ends, too.
+    thread::sleep(Duration::from_secs(12));
     let batch = Spec {
         loaners: true,
         ..Spec::array(4, 5.0)
