Late copies of messages in the simulator, and the failing tests of the incident

The records of the incident show such a copy: a direct message with starts, carried out and answered 10.8 s before, arrives once more under the same token and session after its attempts were forgotten, and is carried out.

Change: `late_copies SECONDS` lets a copy of messages of every kind (store, cloud, direct commands, siblings, heartbeats, users' requests) arrive 0.1 to 150 s later; `copied=SECONDS` does so for the next message of direct commands to one machine. Workers and services do to a copy what the protocol says.

--- a/tests/script/faults.rs
+++ b/tests/script/faults.rs
@@ -38,10 +38,11 @@
     }
 }
 
-/// Reads `served`, `refused`, `unanswered` or `late=SECONDS`.
+/// Reads `served`, `refused`, `unanswered`, `late=SECONDS` or `copied=SECONDS`.
 fn parse_command_outcome(word: &str) -> CommandOutcome {
     match word.split_once('=') {
         Some(("late", seconds)) => CommandOutcome::Late(parse_number(Some(&seconds))),
+        Some(("copied", seconds)) => CommandOutcome::Copied(parse_number(Some(&seconds))),
         None if word == "served" => CommandOutcome::Served,
         None if word == "refused" => CommandOutcome::Refused,
         None if word == "unanswered" => CommandOutcome::Unanswered,
@@ -135,6 +136,7 @@
         "refused_commands" => Condition::RefusedCommands,
         "late_commands" => Condition::LateCommands,
         "lost_command_responses" => Condition::LostCommandResponses,
+        "late_copies" => Condition::LateCopies,
         "fast_boots" => Condition::FastBoots,
         "linearizability_probes" => Condition::LinearizabilityProbes,
         "cancel_at_completion" => Condition::CancelAtCompletion,
--- a/tests/simulation/generated_scenarios.rs
+++ b/tests/simulation/generated_scenarios.rs
@@ -103,6 +103,19 @@
     kind.assert_no_violations();
 }
 
+/// Copies of messages of every kind arrive late, also after all controllers were restarted.
+#[test]
+fn late_copies_violate_no_invariant() {
+    let kind = ScenarioKind {
+        name: "late_copies",
+        variable: "LATE_COPIES_DAYS",
+        seeds: "1-40",
+        regressions: &[],
+        generate: generated::late_copies_scenario,
+    };
+    kind.assert_no_violations();
+}
+
 fn count_log_lines(world: &World, text: &str) -> usize {
     world.log.iter().filter(|line| line.contains(text)).count()
 }
--- a/tests/world/calls.rs
+++ b/tests/world/calls.rs
@@ -180,6 +180,7 @@
         } = call;
         let from = Endpoint::Node(node);
         let epoch = self.nodes[node].epoch;
+        self.copy_later(&event);
         if self.network.passes(&from, &to) {
             let delay = self.draw_latency();
             self.schedule_after(delay, event);
--- a/tests/world/commands.rs
+++ b/tests/world/commands.rs
@@ -25,6 +25,8 @@
     Late(f64),
     /// The commands are executed at once, but the response is lost.
     Unanswered,
+    /// The commands are executed and answered, and this many seconds later a copy of them arrives.
+    Copied(f64),
 }
 
 impl World {
@@ -42,11 +44,8 @@
         let unknown_outcome = Input::Worker(call, WorkerReply::Unknown);
         let not_delivered = Input::Worker(call, WorkerReply::NotSent);
         let outcome = self.choose_command_outcome(&machine);
-        let answer_to = if outcome == CommandOutcome::Served {
-            epoch
-        } else {
-            NO_EPOCH
-        };
+        let is_answered = matches!(outcome, CommandOutcome::Served | CommandOutcome::Copied(_));
+        let answer_to = if is_answered { epoch } else { NO_EPOCH };
         let event = Event::DirectCommands {
             node,
             epoch: answer_to,
@@ -54,6 +53,9 @@
             address,
             commands,
         };
+        if let (CommandOutcome::Copied(delay), Some(copy)) = (outcome, event.late_copy()) {
+            self.schedule_after(delay, copy);
+        }
         match outcome {
             CommandOutcome::Refused => {
                 let delay = self.draw_latency();
@@ -63,14 +65,15 @@
                 self.schedule_after(delay, event);
                 self.schedule_input(RESPONSE_TIMEOUT_S, node, epoch, unknown_outcome);
             }
-            CommandOutcome::Served | CommandOutcome::Unanswered => self.send(Call {
-                node,
-                to: Endpoint::Machine(machine),
-                timeout: RESPONSE_TIMEOUT_S,
-                event,
-                unknown_outcome,
-                not_delivered,
-            }),
+            CommandOutcome::Served | CommandOutcome::Copied(_) | CommandOutcome::Unanswered => self
+                .send(Call {
+                    node,
+                    to: Endpoint::Machine(machine),
+                    timeout: RESPONSE_TIMEOUT_S,
+                    event,
+                    unknown_outcome,
+                    not_delivered,
+                }),
         }
     }
 
--- a/tests/world/controllers.rs
+++ b/tests/world/controllers.rs
@@ -78,6 +78,8 @@
         /// Whether the worker waits for the answer. It does not for duplicates, which have no connection.
         live: bool,
     },
+    /// The sender of a late copy, who does not wait for an answer.
+    Nobody,
     /// Another controller.
     Sibling {
         from: usize,
@@ -265,6 +267,7 @@
     ) {
         let delay = self.draw_latency();
         match requester {
+            Requester::Nobody => {}
             Requester::User { job, kind, sent_at } => {
                 // Users ignore answers after their timeout.
                 let is_poll = matches!(
--- a/tests/world/event.rs
+++ b/tests/world/event.rs
@@ -2,7 +2,7 @@
 
 use super::faults::Fault;
 use super::users;
-use ochredrum::core::effects::{Answer, CallId, CloudCall, Input, StoreCall};
+use ochredrum::core::effects::{Answer, CallId, CloudCall, Input, StoreCall, UserRequest};
 use ochredrum::ids::MachineId;
 use ochredrum::wire::{DirectCommands, Heartbeat};
 
@@ -78,6 +78,8 @@
         node: usize,
         kind: users::RequestKind,
     },
+    /// A controller receives a late copy of a user's request, to whose answer nobody listens.
+    CopiedUserRequest { node: usize, request: UserRequest },
     /// Checks that all tasks of a cancelled job have ended.
     CheckCancelledTasks { job: usize },
     /// Checks for jobs that wait although they could run.
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -114,6 +114,8 @@
     LateCommands,
     /// Some direct commands take effect at once, but their responses are lost.
     LostCommandResponses,
+    /// Of some messages of every kind a copy arrives once more, up to minutes later.
+    LateCopies,
     /// New machines boot within two seconds.
     FastBoots,
     /// Users poll all controllers and repeat their submissions right after an acceptance or a final state was
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,6 +8,7 @@
 mod controllers;
 mod event;
 mod faults;
+mod late_copies;
 mod network;
 mod previous_version;
 mod rate_limiter;
@@ -128,6 +129,8 @@
     pub largest_message: usize,
     /// Messages of direct commands that controllers sent to workers.
     pub commands: usize,
+    /// Late copies of users' requests that were delivered.
+    pub late_copies: usize,
     /// Tasks lost because the lease of their worker expired. Workers that were hung at the time are not
     /// counted.
     pub lost_with_leases: usize,
@@ -329,6 +332,9 @@
             } => {
                 self.receive_user_answer(job, kind, sent_at, answer);
             }
+            Event::CopiedUserRequest { node, request } => {
+                self.deliver_copied_user_request(node, request);
+            }
             Event::Restart { node } => self.restart(node),
             Event::Upgrade { node } => self.upgrade(node),
             Event::Resume { node, epoch } => self.resume(node, epoch),
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -233,6 +233,7 @@
             }
         };
         let node = node.unwrap_or_else(|| self.rng.random_range(0..self.nodes.len()));
+        self.copy_user_request_later(node, &request);
         self.deliver_request(
             node,
             Requester::User {
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -263,7 +263,9 @@
         }
         if self.network.passes(&me, &to) {
             let delay = self.draw_latency();
-            self.schedule_after(delay, event(&heartbeat, true));
+            let live = event(&heartbeat, true);
+            self.copy_later(&live);
+            self.schedule_after(delay, live);
             return;
         }
         if let Some(end) = self.network.held_until(&me, &to) {
