Heartbeats stay within the body limit while exits cannot be recorded

What callers would see: a worker with many short tasks lists each exit until it is recorded and forgotten. In a long outage of the store its heartbeats exceed 64 KiB, no controller reads them any more, and its lease expires with everything on it. Found while measuring what waiting for a higher token costs; it was there before.

Cause: nothing bounded the attempts of a machine but the room for those that run at once.

Change: a round of placement starts nothing on a machine with 400 attempts, exits included. `heartbeats_stay_within_the_body_limit_with_many_short_tasks` plays 25,000 tasks on six machines.

--- a/src/core/machines/machine.rs
+++ b/src/core/machines/machine.rs
@@ -22,6 +22,10 @@
 use image_cache::ImageCache;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Number of attempts, exits included, from which on nothing more is started on a machine. With those that one round
+/// may add, its heartbeats and their responses stay below [`crate::wire::BODY_LIMIT`].
+const MAX_ATTEMPTS_FOR_STARTS: usize = 400;
+
 /// One machine and the attempts that may be on it. Its owner schedules on it. Other controllers keep it only
 /// for the attempts of their teams.
 pub struct Machine {
@@ -227,6 +231,11 @@
             && !self.is_cordoned(now)
     }
 
+    /// Returns whether a round of placement may start tasks on the machine.
+    pub fn accepts_starts(&self, now: Time) -> bool {
+        self.usable(now) && self.attempts.len() < MAX_ATTEMPTS_FOR_STARTS
+    }
+
     /// Returns whether the machine is cordoned because several jobs have failed on it and on no other
     /// machine.
     pub fn is_cordoned(&self, now: Time) -> bool {
--- a/src/core/shard/round/snapshot.rs
+++ b/src/core/shard/round/snapshot.rs
@@ -118,7 +118,7 @@
     pub(super) fn snapshot_machines(&self, now: Time) -> Vec<MachineSnapshot> {
         self.machines
             .values()
-            .filter(|machine| machine.usable(now))
+            .filter(|machine| machine.accepts_starts(now))
             .map(|machine| MachineSnapshot {
                 id: machine.id.clone(),
                 type_name: machine.type_name.clone(),
--- a/tests/simulation/load.rs
+++ b/tests/simulation/load.rs
@@ -214,6 +214,30 @@
     }
 }
 
+/// The cost of an array of 25,000 tasks of this many seconds on six machines, with an outage of the store.
+fn cost_of_short_tasks(run_s: f64, outage_s: u32) -> Counters {
+    let world = run_scenario(&format!(
+        "machines 6\nat 1 cloud_outage 1000\nat 2 job array 25000 run={run_s} gpus=0 cpus=1 image=i0\n\
+         at 60 store_outage {outage_s}\nuntil 1000\n"
+    ));
+    assert_no_violations("short tasks", &world);
+    world.counters
+}
+
+/// Exits that wait for their record or for a higher token do not make heartbeats longer than workers may send, and
+/// a higher token costs no write.
+#[test]
+fn heartbeats_stay_within_the_body_limit_with_many_short_tasks() {
+    for (run_s, outage_s) in [(3.0, 1), (3.0, 60), (0.3, 120)] {
+        let cost = cost_of_short_tasks(run_s, outage_s);
+        println!("tasks of {run_s} s, {outage_s} s of outage: {cost:?}");
+        assert!(
+            cost.largest_heartbeat < ochredrum::wire::BODY_LIMIT,
+            "tasks of {run_s} s, {outage_s} s of outage: {cost:?}"
+        );
+    }
+}
+
 /// A fleet of four thousand machines, most of which run two replicas, loses the controller that owns them
 /// all. Another controller takes over all of them, and requests and messages stay within the limits of the
 /// services.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -31,7 +31,7 @@
 use ochredrum::core::shard::WorkCounts;
 use ochredrum::features::Features;
 use ochredrum::ids::{JobId, MachineId};
-use ochredrum::wire::{Heartbeat, JobSpec};
+use ochredrum::wire::{Heartbeat, JobSpec, ReportedTask, TaskState};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rate_limiter::RateLimiter;
@@ -129,6 +129,12 @@
     pub largest_message: usize,
     /// Messages of direct commands that controllers sent to workers.
     pub commands: usize,
+    /// Heartbeats that workers sent.
+    pub heartbeats: usize,
+    /// Bytes of the largest heartbeat, as JSON.
+    pub largest_heartbeat: usize,
+    /// The largest number of exits that a heartbeat reported.
+    pub most_reported_exits: usize,
     /// Late copies of users' requests that were delivered.
     pub late_copies: usize,
     /// Tasks lost because the lease of their worker expired. Workers that were hung at the time are not
@@ -136,6 +142,20 @@
     pub lost_with_leases: usize,
 }
 
+impl Counters {
+    /// Counts a heartbeat. Its size is determined only if it reports more exits than all before.
+    fn count_heartbeat(&mut self, heartbeat: &Heartbeat) {
+        self.heartbeats += 1;
+        let is_exit = |task: &&ReportedTask| task.state == TaskState::Exited;
+        let exits = heartbeat.tasks.iter().filter(is_exit).count();
+        if exits > self.most_reported_exits {
+            self.most_reported_exits = exits;
+            let text = serde_json::to_string(heartbeat).unwrap_or_default();
+            self.largest_heartbeat = self.largest_heartbeat.max(text.len());
+        }
+    }
+}
+
 impl World {
     /// Creates a simulation whose controllers start one after another, 0.1 s apart.
     pub fn new(seed: u64, controllers: usize) -> Self {
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -235,6 +235,7 @@
             let heartbeat = worker.create_heartbeat(now, &self.cloud);
             let node = worker.node;
             worker.in_flight = Some((heartbeat.sequence, now));
+            self.counters.count_heartbeat(&heartbeat);
             self.send_heartbeat(id, node, heartbeat);
         }
     }
