Log lines and a count that would have told the incident's cause

Cause: the records cannot tell under which token and session a start was allowed, when a controller gained or lost a machine, by which read of the store, or that an attempt came back after it was forgotten.

Change, all at the level that operators run: leadership begins and ends with its term, the revision and the age of the read; machines gained and lost, one line for each token and read of the map; each start with attempt, token, session and what proves that no other attempt lives; messages with stops and forgets; the record behind each final answer. An attempt that appears on a machine of this owner while no start of it is tracked is a warning with the other attempt, and is counted as `unexpected_attempts` in the status and its tables; the simulator fails on any. Such an attempt counts as started under the token that the heartbeat shows, so its exit is forgotten under a higher one. The published schema of the status has the new optional field, and nothing else changed in it; the field is left out when it is 0, so other forms of the status are rewritten unchanged.

--- a/src/core/controller/ownership.rs
+++ b/src/core/controller/ownership.rs
@@ -245,7 +245,12 @@
     /// The new incarnation requests no lease for `pause` seconds.
     pub(crate) fn step_down(&mut self, reason: StepDownReason, pause: Time) {
         let now = self.outbox.now;
-        tracing::info!(%reason, "stepping down: this controller gives up its lease and shard");
+        let term = self.leader.as_ref().map(|leader| leader.key_version());
+        tracing::info!(
+            %reason,
+            led_under_term = ?term,
+            "stepping down: this controller gives up its lease and shard"
+        );
         self.ownership.step_down(now + pause);
         if let Some(shard) = self.shard.take() {
             self.image_hints = shard.images_on_all_machines();
--- a/src/core/controller/status.rs
+++ b/src/core/controller/status.rs
@@ -51,6 +51,7 @@
                 .collect(),
             detection_on: self.acts_on_failures(),
             siblings: self.sibling_statuses(),
+            unexpected_attempts: self.unexpected_attempts(),
             hand_overs: self.hand_over_statuses(),
         }
     }
--- a/src/core/controller/user_requests.rs
+++ b/src/core/controller/user_requests.rs
@@ -227,6 +227,7 @@
                 self.reply(request.reply_to, answer);
             }
             UserRequest::Cancel(id) => {
+                tracing::info!(job = %id, version, "cancellation recorded: its user is told");
                 self.notify_owner(id, team.as_ref());
                 let answer = Answer::json(200, status_answer(id, JobStatus::Cancelled));
                 self.reply(request.reply_to, answer);
--- a/src/core/machines/machine.rs
+++ b/src/core/machines/machine.rs
@@ -16,7 +16,7 @@
 use crate::core::model::process::ProcessId;
 use crate::core::model::resources::Resources;
 use crate::core::model::time::Time;
-use crate::ids::{FencingToken, JobId, MachineId, MachineTypeName, Version, Zone};
+use crate::ids::{FencingToken, JobId, MachineId, MachineTypeName, TaskId, Version, Zone};
 use crate::wire::{Heartbeat, MachineType};
 use heartbeat_order::HeartbeatOrder;
 use image_cache::ImageCache;
@@ -178,6 +178,15 @@
         self.heartbeat_order.accept(heartbeat, shows_token, origin)
     }
 
+    /// The attempts in a heartbeat that are not tracked.
+    pub fn untracked_attempts(&self, heartbeat: &Heartbeat) -> Vec<AttemptKey> {
+        let reported = heartbeat.tasks.iter();
+        reported
+            .filter_map(|reported| Some((TaskId::parse(&reported.task)?, reported.attempt)))
+            .filter(|key| !self.attempts.contains_key(key))
+            .collect()
+    }
+
     /// Ends the present agent epoch after the lease has expired: every attempt on the machine has ended, and
     /// later messages of this epoch are ignored.
     pub fn end_epoch(&mut self) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -160,6 +160,13 @@
         shard.map_or(0, |shard| shard.starts_held_back)
     }
 
+    /// Returns the number of attempts so far that appeared on a machine of this process although no start of
+    /// them was in flight. A number above 0 shows a fault, or an owner of an earlier release.
+    pub fn unexpected_attempts(&self) -> u64 {
+        let shard = self.shard.as_ref();
+        shard.map_or(0, |shard| shard.unexpected_attempts)
+    }
+
     /// Handles the end of a pause of the process ([`ProcessPause`]): worker silence is measured from now on,
     /// and the store is read again.
     fn handle_pause(&mut self, paused: Time) {
@@ -261,13 +268,26 @@
             // A shard map that is at least as new as the leader's key contains every change of earlier
             // leaders.
             let read_version = key_version.filter(|version| self.store.revision() >= *version);
+            if let Some(leader) = &self.leader {
+                tracing::info!(
+                    term = leader.key_version(),
+                    revision = self.store.revision(),
+                    read_s_ago = %format_args!("{:.2}", now - self.store.current_as_of()),
+                    "no longer leading under this term"
+                );
+            }
             self.leader = read_version.map(|version| self.begin_leading(version));
         }
     }
 
     /// Creates the leader's state for this version of the leader's key.
     fn begin_leading(&self, key_version: Version) -> Leader {
-        tracing::info!(term = key_version, "leading");
+        tracing::info!(
+            term = key_version,
+            revision = self.store.revision(),
+            read_s_ago = %format_args!("{:.2}", self.outbox.now - self.store.current_as_of()),
+            "leading"
+        );
         Leader::new(&self.config, key_version, &self.store, self.outbox.now)
     }
 }
--- a/src/core/shard/commands.rs
+++ b/src/core/shard/commands.rs
@@ -10,6 +10,7 @@
 use crate::core::machines::starts_in_flight::{AttemptKey, Fence};
 use crate::core::model::time::Time;
 use crate::core::shard::Shard;
+use crate::core::shard::decision_log::IssuedStart;
 use crate::core::shard::owned_jobs::describe_attempt;
 use crate::core::store::replica::StoreReplica;
 use crate::ids::{Attempt, JobId, MachineId, TaskId};
@@ -60,6 +61,17 @@
             ready_in_s = %format_args!("{:.1}", machine.ready_in(&spec.image, spec.image_gb, now)),
             "start issued"
         );
+        if let Some(team) = self.teams.get(&spec.team) {
+            let start = IssuedStart {
+                task: &task,
+                attempt,
+                machine,
+                team: &spec.team,
+                team_token: team.token(),
+                is_team_reconciled: team.is_reconciled(),
+            };
+            self.decision_log.log_start(&start, now);
+        }
         self.task_index.add(job_id, machine_id);
         machine.attempts.insert((task, attempt), tracked);
         self.unsent_commands.insert(machine_id.clone());
@@ -145,12 +157,16 @@
             token: machine.command_tokens.current(),
             agent_epoch: machine.agent_epoch(),
         };
+        machine.record_starts(&starts);
+        let batch = CommandBatch { commands, starts };
+        self.decision_log
+            .log_commands(machine_id, fence, &batch, outbox.now);
+        let CommandBatch { commands, starts } = batch;
         let message = DirectCommands {
             token: fence.token,
             agent_epoch: fence.agent_epoch,
             commands,
         };
-        machine.record_starts(&starts);
         let call = outbox.send_commands(machine_id, &machine.address, message);
         self.starts_in_flight
             .record_direct_message(machine_id, call, fence, starts);
--- a/src/core/shard/map_changes.rs
+++ b/src/core/shard/map_changes.rs
@@ -7,6 +7,7 @@
 use crate::core::records::job_record::JobRecord;
 use crate::core::records::shard_map::{ShardMap, ShardOwner};
 use crate::core::shard::Shard;
+use crate::core::shard::decision_log::{MachineChanges, OwnershipChange};
 use crate::core::shard::owned_team::OwnedTeam;
 use crate::core::shard::progress_records::write_rate_per_controller;
 use crate::core::store::replica::StoreReplica;
@@ -90,6 +91,7 @@
         unresponsive: &UnresponsiveMachines,
         now: Time,
     ) {
+        let mut changes = MachineChanges::default();
         for (id, owner) in &store.shard_map().machines {
             let previous = owner.previous_token;
             let assignment = MachineAssignment {
@@ -98,24 +100,39 @@
                 last_answered: previous.and_then(|token| unresponsive.last_answered(id, token)),
                 revision: store.map_revision(),
             };
-            if self.machines.contains_key(id) {
-                self.update_machine_owner(id, &assignment, now);
+            let change = if self.machines.contains_key(id) {
+                self.update_machine_owner(id, &assignment, now)
             } else if assignment.is_owned_here {
                 self.add_machine(id, &assignment, now);
+                Some(OwnershipChange::Gained)
+            } else {
+                None
+            };
+            if let Some(change) = change {
+                changes.record(change, owner.token, id);
             }
         }
+        changes.log(store, now);
     }
 
     /// Updates a known machine whose owner or token has changed. Its attempts are kept; the machine has to
-    /// confirm the new token.
-    fn update_machine_owner(&mut self, id: &MachineId, assignment: &MachineAssignment, now: Time) {
-        let Some(machine) = self.machines.get_mut(id) else {
-            return;
-        };
+    /// confirm the new token. Returns whether it was gained or lost; `None` if it was not owned and is not.
+    fn update_machine_owner(
+        &mut self,
+        id: &MachineId,
+        assignment: &MachineAssignment,
+        now: Time,
+    ) -> Option<OwnershipChange> {
+        let machine = self.machines.get_mut(id)?;
         let token = assignment.owner.token;
         if machine.is_owned == assignment.is_owned_here && machine.token == token {
-            return;
+            return None;
         }
+        let change = match (machine.is_owned, assignment.is_owned_here) {
+            (_, true) => Some(OwnershipChange::Gained),
+            (true, false) => Some(OwnershipChange::Lost),
+            (false, false) => None,
+        };
         // A new token does not prove that the previous owner has stopped answering the machine.
         let unreleased_owner = machine.previous_owner.take();
         let unreleased_owner = unreleased_owner.filter(|_| machine.is_owned);
@@ -138,6 +155,7 @@
             self.uninspected_machines.insert(id.clone());
         }
         self.changed_since_round = true;
+        change
     }
 
     /// Adds a machine that this process has gained. An earlier process of the same controller is not kept as
--- a/src/core/shard/mod.rs
+++ b/src/core/shard/mod.rs
@@ -9,6 +9,7 @@
 pub mod capacity_planning;
 pub mod commands;
 pub mod consolidation;
+pub mod decision_log;
 pub mod dependent_cancellations;
 pub mod grants;
 pub mod lease_expiry;
@@ -42,6 +43,7 @@
 use crate::core::scheduling::catalog::Catalog;
 use crate::core::scheduling::forecast::Forecast;
 use crate::core::scheduling::placement::Weights;
+use crate::core::shard::decision_log::DecisionLog;
 use crate::core::shard::dependent_cancellations::DependentCancellations;
 use crate::core::shard::owned_team::OwnedTeam;
 use crate::core::shard::progress_records::{UnrecordedJobs, write_rate_per_controller};
@@ -96,6 +98,10 @@
     pub(crate) starts_in_flight: StartsInFlight,
     /// Number of starts that were held back because another attempt of the task may still run.
     pub(crate) starts_held_back: u64,
+    /// Number of attempts that appeared on owned machines although no start of them was in flight.
+    pub(crate) unexpected_attempts: u64,
+    /// The log of commands.
+    decision_log: DecisionLog,
     /// Jobs whose progress or completion has yet to be recorded in the store.
     pub(crate) unrecorded: UnrecordedJobs,
     /// Jobs with tasks that may run on machines that are not reconciled yet, by team.
@@ -151,6 +157,8 @@
             task_index: TaskIndex::default(),
             starts_in_flight: StartsInFlight::default(),
             starts_held_back: 0,
+            unexpected_attempts: 0,
+            decision_log: DecisionLog::new(now),
             unrecorded: UnrecordedJobs::default(),
             unreconciled_jobs: BTreeMap::new(),
             next_machine_check: now,
--- a/src/core/shard/progress_records.rs
+++ b/src/core/shard/progress_records.rs
@@ -239,6 +239,9 @@
         job.write_alone = false;
         let Some(stored) = store.job(id) else { return };
         let (record, version) = (stored.record.clone(), stored.version);
+        if record.is_final() {
+            tracing::info!(job = %id, version, status = ?record.status, "end of a job recorded: its user is told");
+        }
         self.allow_forgetting_recorded_exits(id, &record);
         self.apply_job_record(store, id, &record, version, (outbox.now, outbox.wall_ms));
     }
--- a/src/core/shard/tracking.rs
+++ b/src/core/shard/tracking.rs
@@ -98,6 +98,8 @@
                 token: machine.command_tokens.current(),
                 agent_epoch: heartbeat.agent_epoch,
             };
+            self.decision_log
+                .log_commands(&machine.id, fence, &batch, now);
             self.starts_in_flight
                 .record_heartbeat_response(&machine.id, fence, batch.starts);
             batch.commands
@@ -146,7 +148,15 @@
         }
         machine.unreachable = false;
         machine.previous_owner = None;
+        let unexpected = if newly_confirmed {
+            Vec::new()
+        } else {
+            machine.untracked_attempts(heartbeat)
+        };
         self.apply_reported_tasks(store, heartbeat, origin, now);
+        for key in unexpected {
+            self.report_unexpected_attempt(machine_id, &key, heartbeat.token);
+        }
     }
 
     /// Drops the attempts of the previous agent epoch when the worker has begun a new one. Those attempts
--- a/src/status.rs
+++ b/src/status.rs
@@ -33,11 +33,24 @@
     /// The other controllers, as it judges them.
     #[serde(default)]
     pub siblings: Vec<SiblingStatus>,
+    /// Attempts that appeared on machines of the controller although it had not started them: 0 unless
+    /// something is wrong, or a controller of an earlier release took part.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unexpected_attempts: u64,
     /// Shares of controllers that have failed.
     #[serde(default)]
     pub hand_overs: Vec<HandOverStatus>,
 }
 
+/// Whether a count is zero, so that it is not sent.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 /// Another controller, as the one that answers judges it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct SiblingStatus {
@@ -251,6 +264,9 @@
         if !self.grants_on {
             text.push_str(", keeps to no grants");
         }
+        if self.unexpected_attempts > 0 {
+            write!(text, ", {} unexpected attempts", self.unexpected_attempts).ok();
+        }
         text
     }
 }
--- a/src/status/tests.rs
+++ b/src/status/tests.rs
@@ -36,6 +36,7 @@
             sibling_status("n1", StageStatus::Alive),
             sibling_status("n2", StageStatus::Confirmed),
         ],
+        unexpected_attempts: 2,
         hand_overs: vec![HandOverStatus {
             controller: "n2".into(),
             incarnation: 3,
@@ -74,7 +75,7 @@
 fn the_tables_show_grants_siblings_and_failovers() {
     assert_eq!(
         example_status().to_tables(),
-        "n0 (process 7), leads\n\n\
+        "n0 (process 7), leads, 2 unexpected attempts\n\n\
          TEAM  OWNER  LIMIT   GUARANTEE  GRANTED  OTHERS  USED      UNKNOWN  STATE\n\
          blue  n0     24 GPU  8 GPU      5 GPU    10 GPU  12.5 GPU  3        taking over\n\n\
          CONTROLLER  STAGE             SILENT        VOTES  KEY    OTHERS HEAR IT\n\
@@ -124,7 +125,12 @@
 fn an_answer_of_an_older_version_can_be_parsed() {
     let mut earlier = serde_json::to_value(example_status()).unwrap();
     let fields = earlier.as_object_mut().unwrap();
-    for field in ["detection_on", "siblings", "hand_overs"] {
+    for field in [
+        "detection_on",
+        "siblings",
+        "hand_overs",
+        "unexpected_attempts",
+    ] {
         fields.remove(field);
     }
     let read = serde_json::from_value::<Status>(earlier).unwrap();
--- a/tests/world/controllers.rs
+++ b/tests/world/controllers.rs
@@ -348,8 +348,10 @@
         };
         let span = tracing::info_span!("", n = node, t = self.now);
         let before = core.starts_held_back();
+        let unexpected_before = core.unexpected_attempts();
         let effects = span.in_scope(|| core.step(now, wall_ms, batch));
         let start_withheld = core.starts_held_back() > before;
+        let unexpected = core.unexpected_attempts() > unexpected_before;
         if start_withheld {
             // The core's last check prevented the duplicate start, but no start should get as far as that
             // check.
@@ -358,6 +360,12 @@
                 format!("n{node} was about to start a task twice"),
             );
         }
+        if unexpected {
+            self.record_violation(
+                "unexpected_attempt",
+                format!("n{node} has an attempt that it did not start"),
+            );
+        }
         for effect in effects {
             self.execute_effect(node, effect);
         }
