Loopback workers receive late copies of direct commands

Cause: the loopback workers executed each message once, so that no test with real processes played a late copy.

Change: every second message of direct commands to the fleet of `five_controllers_never_exceed_a_team_limit` arrives once more 0.1 to 12 s later, and is executed if token and session still match. The test also asks that no worker starts an attempt again that the same session had started.

--- a/tests/loopback/fleet.rs
+++ b/tests/loopback/fleet.rs
@@ -14,7 +14,7 @@
 };
 use serde_json::Value;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -32,6 +32,17 @@
     Duration::from_millis(3100),
 ];
 
+/// A copy of every message of direct commands whose number is a multiple of this arrives once more.
+const MESSAGES_PER_COPY: usize = 2;
+/// How long after its message a copy arrives; consecutive copies take consecutive entries.
+const COPY_DELAYS: [Duration; 5] = [
+    Duration::from_millis(100),
+    Duration::from_millis(1100),
+    Duration::from_millis(2500),
+    Duration::from_millis(6000),
+    Duration::from_millis(12_000),
+];
+
 /// The starts and ends of tasks, as the workers recorded them.
 #[derive(Debug, Default)]
 pub struct History {
@@ -45,11 +56,27 @@
     pub limit_violations: usize,
     /// Starts of a task of which another copy was running.
     pub duplicate_starts: usize,
+    /// Starts of an attempt that the same session of its worker had already started and forgotten.
+    pub repeated_attempts: usize,
+    /// Copies of messages whose token and session still matched, so that they were executed.
+    pub executed_copies: usize,
+    /// Messages of direct commands that were executed.
+    messages: usize,
+    /// The attempts that were started, with the machine and its session.
+    started_attempts: BTreeSet<(MachineId, u64, String, Attempt)>,
     /// The largest number of tasks that may run at once.
     pub limit: usize,
 }
 
 impl History {
+    /// Counts a message of direct commands. Returns how long after it a copy arrives, if one does.
+    fn count_message(&mut self) -> Option<Duration> {
+        self.messages += 1;
+        let is_copied = self.messages.is_multiple_of(MESSAGES_PER_COPY);
+        let copies = self.messages / MESSAGES_PER_COPY;
+        is_copied.then_some(COPY_DELAYS[copies % COPY_DELAYS.len()])
+    }
+
     fn record_start(&mut self, task: &str) {
         self.starts += 1;
         let copies = self.running.entry(task.to_owned()).or_default();
@@ -127,6 +154,16 @@
         }
     }
 
+    /// Executes a message of direct commands, and returns whether its token and session permitted that.
+    fn handle_message(&mut self, message: DirectCommands) -> bool {
+        let is_current = message.token >= self.token && message.agent_epoch == self.agent_epoch;
+        if is_current {
+            self.token = message.token;
+            self.execute(message.commands);
+        }
+        is_current
+    }
+
     fn start(&mut self, task: String, attempt: Attempt) {
         let key = (task, attempt);
         if self.tasks.contains_key(&key) {
@@ -134,6 +171,9 @@
         }
         let mut history = self.history.borrow_mut();
         history.record_start(&key.0);
+        let attempt = (self.id.clone(), self.agent_epoch, key.0.clone(), key.1);
+        let is_new = history.started_attempts.insert(attempt);
+        history.repeated_attempts += usize::from(!is_new);
         let duration = TASK_DURATIONS[history.starts % TASK_DURATIONS.len()];
         let task = Task {
             state: TaskState::Running,
@@ -231,21 +271,32 @@
     let Ok(body) = read_body(request.into_body(), BODY_LIMIT, TIMEOUT).await else {
         return reply(400, Vec::new(), MESSAGE_PACK);
     };
-    let mut machine = machine.borrow_mut();
-    let status = match decode::<DirectCommands>(&body) {
-        None => 400,
-        Some(message)
-            if message.token < machine.token || message.agent_epoch != machine.agent_epoch =>
-        {
-            409
-        }
-        Some(message) => {
-            machine.token = message.token;
-            machine.execute(message.commands);
-            200
-        }
+    let Some(message) = decode::<DirectCommands>(&body) else {
+        return reply(400, Vec::new(), MESSAGE_PACK);
+    };
+    let is_executed = machine.borrow_mut().handle_message(message);
+    if is_executed {
+        deliver_copy_later(&machine, &body);
+    }
+    let status = if is_executed { 200 } else { 409 };
+    let heartbeat = encode(&machine.borrow_mut().heartbeat());
+    reply(status, heartbeat, MESSAGE_PACK)
+}
+
+/// Lets a copy of some messages of direct commands arrive later. Nobody waits for the answer.
+fn deliver_copy_later(machine: &Rc<RefCell<Machine>>, body: &[u8]) {
+    let history = machine.borrow().history.clone();
+    let delay = history.borrow_mut().count_message();
+    let copy = decode::<DirectCommands>(body);
+    let (Some(delay), Some(copy)) = (delay, copy) else {
+        return;
     };
-    reply(status, encode(&machine.heartbeat()), MESSAGE_PACK)
+    let machine = machine.clone();
+    spawn_local(async move {
+        tokio::time::sleep(delay).await;
+        let is_executed = machine.borrow_mut().handle_message(copy);
+        history.borrow_mut().executed_copies += usize::from(is_executed);
+    });
 }
 
 /// Sends heartbeats to one controller after the other, beginning with number `first`. After a redirect it
--- a/tests/loopback/team_limits.rs
+++ b/tests/loopback/team_limits.rs
@@ -102,12 +102,16 @@
 
 fn check_history(history: &History, jobs: usize, kills: usize) {
     println!(
-        "{jobs} jobs, {} starts, {kills} kills, at most {} of {TEAM_LIMIT_GPUS} at once, {} violations",
-        history.starts, history.peak_running, history.limit_violations
+        "{jobs} jobs, {} starts, {kills} kills, {} copies, at most {} of {TEAM_LIMIT_GPUS} at once, {} violations",
+        history.starts, history.executed_copies, history.peak_running, history.limit_violations
     );
     assert_eq!(
-        (history.limit_violations, history.duplicate_starts),
-        (0, 0),
+        (
+            history.limit_violations,
+            history.duplicate_starts,
+            history.repeated_attempts
+        ),
+        (0, 0, 0),
         "{history:?}"
     );
     assert!(
