Answers to heartbeats are a module of their own; a test for a start repeated under a raised token

With the recording of starts in responses to heartbeats taken out, no test failed.

Change: `tracking/heartbeat_answer.rs` builds the answers, without a change of behaviour. `serde_defaults` has the one `is_zero`. `an_exit_is_not_forgotten_while_a_response_under_a_raised_token_repeats_its_start` fails if starts in responses are not recorded: a direct message could let the worker forget the exit, and the response, under the same token, would start the attempt again.

--- a/src/core/records/shard_map.rs
+++ b/src/core/records/shard_map.rs
@@ -2,6 +2,7 @@
 
 use crate::core::model::process::ProcessId;
 use crate::ids::{ControllerName, FencingToken, MachineId, Team};
+use crate::serde_defaults::is_zero;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -58,15 +59,6 @@
     pub raises: u64,
 }
 
-/// Whether a count is zero, so that it is not stored.
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes the field by reference"
-)]
-fn is_zero(count: &u64) -> bool {
-    *count == 0
-}
-
 impl ShardOwner {
     /// Returns the identity of the owning process.
     pub fn process(&self) -> ProcessId {
--- a/src/core/shard/tracking.rs
+++ b/src/core/shard/tracking.rs
@@ -8,21 +8,20 @@
 
 mod attempt_end;
 mod cordon;
+mod heartbeat_answer;
 
-use crate::core::effects::{Answer, Body};
+use crate::core::effects::Answer;
 use crate::core::jobs::job::Task;
-use crate::core::machines::machine::{
-    CommandChannel, Freshness, HeartbeatOrigin, Phase, TrackedAttempt,
-};
-use crate::core::machines::starts_in_flight::{AttemptKey, Fence};
+use crate::core::machines::machine::{Freshness, HeartbeatOrigin, Phase, TrackedAttempt};
+use crate::core::machines::starts_in_flight::AttemptKey;
 use crate::core::model::resources::Resources;
 use crate::core::model::time::Time;
 use crate::core::scheduling::catalog::Catalog;
 use crate::core::shard::Shard;
 use crate::core::shard::owned_jobs::describe_stored_attempt;
 use crate::core::store::replica::StoreReplica;
-use crate::ids::{JobId, MachineId, TaskId};
-use crate::wire::{Command, ExitReason, Heartbeat, HeartbeatResponse, ReportedTask, TaskState};
+use crate::ids::{MachineId, TaskId};
+use crate::wire::{ExitReason, Heartbeat, ReportedTask, TaskState};
 use std::collections::BTreeSet;
 
 /// Number of heartbeats that do not show an issued attempt, after which it is considered absent. The
@@ -67,56 +66,6 @@
         self.answer_heartbeat(store, heartbeat, now)
     }
 
-    /// Builds the answer to a heartbeat. Unless the heartbeat is refused, the answer extends the machine's
-    /// lease.
-    fn answer_heartbeat(
-        &mut self,
-        store: &StoreReplica,
-        heartbeat: &Heartbeat,
-        now: Time,
-    ) -> Option<Answer> {
-        let machine = self.machines.get_mut(&heartbeat.machine)?;
-        if machine.unresponsive {
-            // Siblings rely on the machine no longer being answered under its current token.
-            machine.needs_new_token = true;
-            self.sibling_update_requested |=
-                self.demand.request_new_token(&machine.id, machine.token);
-            return Some(Answer::unavailable());
-        }
-        machine.last_answered = now;
-        machine.known_empty = false;
-        // Until a heartbeat has shown the token, the response carries the token and no commands other than
-        // stops for finished jobs. The heartbeat must be answered, because the answer keeps the machine's
-        // tasks alive. Without these stops, tasks of finished jobs might never end on a machine whose owner
-        // changes repeatedly.
-        let commands = if machine.token_confirmed {
-            machine.raise_command_token_if_needed(self.config.deployment.workers.lease_s, now);
-            let channel = CommandChannel::HeartbeatResponse;
-            let batch = machine.commands(&self.starts_in_flight, channel);
-            machine.record_starts(&batch.starts);
-            let fence = Fence {
-                token: machine.command_tokens.current(),
-                agent_epoch: heartbeat.agent_epoch,
-            };
-            self.decision_log
-                .log_commands(&machine.id, fence, &batch, now);
-            self.starts_in_flight
-                .record_heartbeat_response(&machine.id, fence, batch.starts);
-            batch.commands
-        } else {
-            stops_for_finished_jobs(heartbeat, store)
-        };
-        let response = HeartbeatResponse {
-            token: machine.command_tokens.current(),
-            commands,
-        };
-        Some(Answer {
-            status: 200,
-            body: Body::HeartbeatResponse(response),
-            retry_after: None,
-        })
-    }
-
     /// Applies a heartbeat that is newer than every earlier message of the machine.
     pub(super) fn apply_heartbeat(
         &mut self,
@@ -362,24 +311,5 @@
     tracked.missed_heartbeats >= limit
 }
 
-/// Stop commands for the running attempts in a heartbeat whose jobs are finished.
-fn stops_for_finished_jobs(heartbeat: &Heartbeat, store: &StoreReplica) -> Vec<Command> {
-    let is_finished = |job: &JobId| store.job(job).is_some_and(|job| job.record.is_final());
-    let must_stop = |reported: &&ReportedTask| {
-        reported.state != TaskState::Exited
-            && TaskId::parse(&reported.task).is_some_and(|task| is_finished(&task.job))
-    };
-    heartbeat
-        .tasks
-        .iter()
-        .filter(must_stop)
-        .map(|reported| Command::Stop {
-            task: reported.task.clone(),
-            attempt: reported.attempt,
-            grace_s: 0.0,
-        })
-        .collect()
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/core/shard/tracking/tests.rs
+++ b/src/core/shard/tracking/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::core::effects::outbox::Outbox;
 use crate::core::effects::pending::Pending;
-use crate::core::effects::{CallId, Effect, WorkerReply};
+use crate::core::effects::{Body, CallId, Effect, WorkerReply};
 use crate::core::machines::unresponsive::UnresponsiveMachines;
 use crate::core::records::keys::job_key;
 use crate::core::records::shard_map::{ShardEntry, ShardOwner};
@@ -9,6 +9,7 @@
 use crate::core::shard::commands::MAX_UNANSWERED_MESSAGES;
 use crate::core::test_support::{apply_shard_map, owner, record, shard};
 use crate::ids::{Attempt, FencingToken};
+use crate::wire::Command;
 use std::rc::Rc;
 
 const JOB: &str = "req-000001";
@@ -371,6 +372,30 @@
     ));
 }
 
+/// The token may have been raised between a direct message with a start and a response that repeats it.
+#[test]
+fn an_exit_is_not_forgotten_while_a_response_under_a_raised_token_repeats_its_start() {
+    let mut fixture = Fixture::new();
+    fixture.assign_token(8, 20, 5);
+    fixture.heartbeat("m-1", &[]);
+    let other = fixture.start(1);
+    let answer = fixture.next_heartbeat("m-1", &[refused_start(1)]);
+    fixture.reply(other, WorkerReply::Executed(answer));
+    let first = fixture.start(0);
+    let commands = fixture.heartbeat("m-1", &[refused_start(1)]);
+    assert!(
+        contains_forget(&commands) && commands.len() == 2,
+        "{commands:?}"
+    );
+    let answer = fixture.next_heartbeat("m-1", &[refused_start(0)]);
+    fixture.reply(first, WorkerReply::Executed(answer));
+    fixture.shard.unsent_commands.insert("m-1".into());
+    assert!(
+        fixture.send_direct().is_none(),
+        "the direct message may overtake the response"
+    );
+}
+
 /// A start that was sent under an earlier ownership of the machine is void once the machine has shown a later
 /// token, so it delays no forgetting of exits.
 #[test]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ids;
 pub mod inbox;
 pub mod mesh;
+pub mod serde_defaults;
 pub mod service;
 pub mod status;
 pub mod status_client;
--- a/src/status.rs
+++ b/src/status.rs
@@ -3,6 +3,7 @@
 //!
 //! `ochredrum schema status` prints the JSON schema, including the doc comments of the types.
 
+use crate::serde_defaults::is_zero;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::fmt::Write;
@@ -42,15 +43,6 @@
     pub hand_overs: Vec<HandOverStatus>,
 }
 
-/// Whether a count is zero, so that it is not sent.
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes the field by reference"
-)]
-fn is_zero(count: &u64) -> bool {
-    *count == 0
-}
-
 /// Another controller, as the one that answers judges it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct SiblingStatus {
