--- a/src/core/machines/starts_in_flight/tests.rs
+++ b/src/core/machines/starts_in_flight/tests.rs
@@ -80,4 +80,7 @@
     in_flight.record_heartbeat_response(&id, fence(9, 1), starts(&[2]));
     in_flight.discard_outdated(&id, FencingToken(9), 2);
     assert!(!in_flight.may_arrive(&id, &attempt(2)) && in_flight.machines.is_empty());
+    in_flight.record_heartbeat_response(&id, fence(9, 2), starts(&[3]));
+    in_flight.discard_outdated(&id, FencingToken(10), 2);
+    assert!(!in_flight.may_arrive(&id, &attempt(3)) && in_flight.machines.is_empty());
 }
--- a/src/core/records/shard_map.rs
+++ b/src/core/records/shard_map.rs
@@ -121,3 +121,6 @@
         owners.map(ShardOwner::process).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
