--- a/src/core/controller/hello.rs
+++ b/src/core/controller/hello.rs
@@ -300,3 +300,6 @@
         _ => Answer::unavailable(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/core/leader/live_processes.rs
+++ b/src/core/leader/live_processes.rs
@@ -64,3 +64,6 @@
         Some(ProcessId::new(node.clone(), *incarnation))
     }
 }
+
+#[cfg(test)]
+mod tests;
