Limits count on a view that is complete as of the gain; tasks of jobs first read as cancelled are reported

A leader that assigns a team to itself knows the shard map by its own write, before it reads the jobs that were written earlier. What machines showed of such a job had no team and was in no term of the count, and the team could be reconciled all the same. As the owner of a machine, the same leader reported the machine to the team's owner without the task if the first record that it read of the job was the cancellation.

Cause: a decision from a view that is not known to be complete. With grants an owner waited until it had read up to the revision of the gain, without grants it did not.

Change: `OwnedTeam::has_read_earlier_jobs` is the one condition for both paths; until it holds, the usage is unknown and a team with a limit starts nothing, for one read of the store. An attempt without a team takes it from the record of the cancelled job. A machine is reported only if each task whose team is unknown is the exit of a finished job. `only_recent_cancellations_count_towards_a_limit` now reads up to the map before it counts; its checks are the same.

--- a/src/core/shard/grants.rs
+++ b/src/core/shard/grants.rs
@@ -77,9 +77,9 @@
         self.basis
     }
 
-    /// Reads the record from the store replica. `gained_at_revision` is the revision at which the team was
-    /// gained. Until the replica has reached it, a record may exist that the replica does not show.
-    fn observe(&mut self, store: &StoreReplica, team: &Team, gained_at_revision: Version) {
+    /// Reads the record from the store replica. Unless the replica `has_read_earlier_jobs`, a record may exist
+    /// that it does not show.
+    fn observe(&mut self, store: &StoreReplica, team: &Team, has_read_earlier_jobs: bool) {
         let kept_since = store.grants_kept_since(team).or(self.grants_kept_since);
         let stored = store.ledger(team);
         let version = stored.map_or(0, |stored| stored.version);
@@ -94,7 +94,7 @@
         }
         // Other processes rely on a record for as long as it exists, so no task starts until it is deleted.
         let has_record_to_delete = self.is_record_disabled && version != 0;
-        self.basis = if store.revision() < gained_at_revision || has_record_to_delete {
+        self.basis = if !has_read_earlier_jobs || has_record_to_delete {
             QuotaBasis::Undecided
         } else if self.holder.ledger().is_some() {
             let (own, outstanding) = (self.holder.usable_grant(), self.holder.granted_to_others());
@@ -132,10 +132,10 @@
     /// Reads the grant records of all owned teams from the store replica.
     pub(crate) fn read_grant_records(&mut self, store: &StoreReplica) {
         for (name, team) in &mut self.teams {
-            let gained_at_revision = team.gained_at_revision;
+            let has_read_earlier_jobs = team.has_read_earlier_jobs(store.revision());
             if let Some(grant) = &mut team.grant {
                 let before = grant.basis;
-                grant.observe(store, name, gained_at_revision);
+                grant.observe(store, name, has_read_earlier_jobs);
                 self.changed_since_round |= grant.basis != before;
             }
         }
--- a/src/core/shard/owned_jobs.rs
+++ b/src/core/shard/owned_jobs.rs
@@ -30,7 +30,7 @@
         (now, wall_ms): (Time, u64),
     ) {
         if record.is_final() {
-            return self.remove_ended_job(id);
+            return self.remove_ended_job(id, record);
         }
         if let Some(job) = self.jobs.get_mut(id) {
             job.version = version;
@@ -145,12 +145,15 @@
     }
 
     /// Removes a job that is recorded as done or cancelled. Stops its attempts and lets workers forget their
-    /// exits.
-    fn remove_ended_job(&mut self, id: &JobId) {
+    /// exits. An attempt may have been reported before any record of the job was read.
+    fn remove_ended_job(&mut self, id: &JobId, record: &JobRecord) {
         self.changed_since_round |= self.jobs.remove(id).is_some();
         let mut stopped = Vec::new();
         self.for_each_attempt(id, |location, tracked| {
             tracked.may_forget = true;
+            if let (None, Some(terminating)) = (&tracked.team, &record.terminating) {
+                describe_terminating_attempt(tracked, terminating);
+            }
             if tracked.request_immediate_stop() {
                 stopped.push(location.machine_id.clone());
             }
--- a/src/core/shard/owned_team.rs
+++ b/src/core/shard/owned_team.rs
@@ -54,6 +54,12 @@
         self.unreconciled.is_empty()
     }
 
+    /// Whether a replica that has read up to `read` holds every job that an earlier owner may have started. A leader
+    /// knows of a team that it assigns to itself by its own write, before it reads what was written earlier.
+    pub(crate) fn has_read_earlier_jobs(&self, read: Version) -> bool {
+        read >= self.gained_at_revision
+    }
+
     /// Issues an attempt number that is larger than all earlier ones of the team, including those that other
     /// processes issued: the token forms the high part of the number. Returns `None` once the token's range
     /// is used up.
--- a/src/core/shard/sibling_updates.rs
+++ b/src/core/shard/sibling_updates.rs
@@ -325,8 +325,8 @@
     })
 }
 
-/// Whether the machine has no task of an unfinished job whose team is unknown. A leader that assigns a
-/// machine to itself owns it before it has read the jobs that were written earlier. It cannot report a task
+/// Whether the machine has no task whose team is unknown, other than exits of finished jobs. A leader that assigns
+/// a machine to itself owns it before it has read the jobs that were written earlier. It cannot report a task
 /// whose team it does not know, and the team's owner would conclude that the task is not on the machine.
 fn has_only_known_tasks(machine: &Machine, store: &StoreReplica) -> bool {
     machine.attempts.iter().all(|((task, _), tracked)| {
@@ -334,7 +334,7 @@
             let job = store.job(&task.job);
             job.is_some_and(|job| job.record.is_final())
         };
-        tracked.team.is_some() || is_final()
+        tracked.team.is_some() || (tracked.exited() && is_final())
     })
 }
 
--- a/src/core/shard/tests.rs
+++ b/src/core/shard/tests.rs
@@ -437,6 +437,7 @@
     };
     apply_shard_map(&mut store, 60, vec![own_entry(vec!["red".into()])]);
     shard.apply_map_changes(&mut outbox, &store, &UnresponsiveMachines::default());
+    store.set_revision(60);
     outbox.begin_step(1.0, now_ms);
     let used = |shard: &Shard, store: &StoreReplica| shard.usage(store, now_ms).gpus(&"red".into());
     assert_eq!(used(&shard, &store), 0.0, "ended long ago");
--- a/src/core/shard/usage.rs
+++ b/src/core/shard/usage.rs
@@ -1,4 +1,15 @@
 //! Upper bound on the resources that each team may be using. Every task that may be on a machine is counted.
+//!
+//! The bound is a sum of terms. Each rests on evidence that is complete as of some revision of the store:
+//!
+//! | term | evidence | complete |
+//! |---|---|---|
+//! | attempts | heartbeats of owned machines, observations of siblings, starts that this process issued | for each machine from its first heartbeat under this ownership, or the first observation of the revision at which the team was gained |
+//! | unreconciled tasks of unfinished jobs | the stored records: each task may be on a machine that has not reported | once the revision is read at which the team was gained |
+//! | cancelled jobs whose tasks may be on a machine that has not reported | the stored records | the same |
+//!
+//! While a term is incomplete and no bound replaces it, the usage of the team is unknown, and a team with a limit
+//! starts nothing.
 
 use crate::core::model::time::MS_PER_S;
 use crate::core::scheduling::usage::Usage;
@@ -20,6 +31,7 @@
         self.add_attempts(&mut usage);
         self.add_unreconciled_tasks(&mut usage);
         self.add_cancelled_jobs(store, wall_ms, &mut usage);
+        self.mark_teams_with_unread_jobs(store, &mut usage);
         for team_limits in &self.config.deployment.teams {
             let team = self.teams.get(&team_limits.name);
             if let Some(grant) = team.and_then(|team| team.grant.as_ref()) {
@@ -29,6 +41,16 @@
         usage
     }
 
+    /// Marks the usage of teams as unknown whose earlier owners may have started jobs that the replica does not
+    /// hold yet. What machines show of such a job has no team and is in no term.
+    fn mark_teams_with_unread_jobs(&self, store: &StoreReplica, usage: &mut Usage) {
+        let unread = self
+            .teams
+            .iter()
+            .filter(|(_, team)| !team.has_read_earlier_jobs(store.revision()));
+        unread.for_each(|(name, _)| usage.mark_unknown(name));
+    }
+
     /// Adds all attempts that have not exited.
     fn add_attempts(&self, usage: &mut Usage) {
         let mut has_attempt_of_unknown_team = false;
