A job starts only when its dependencies have been read as done

Callers could see a team above its limit: an owner treated a dependency as done by its own write of the final record, before it read what was written earlier. If the shard map had changed in between, it started a dependent job of a team that it had lost, and the next owner, which had not read that the dependency was done, did not count the job in the bound on what earlier owners may have started.

Change: `StoreReplica::is_ahead_of_reads` is the one condition for both records, the job's and its dependencies'; a job stays among the changed ones until a read has reached them. A read is requested when an ended job has dependents, so that they wait for one round trip to the store.

Not brought about with whole controllers: the window is one read long.

--- a/src/core/shard/map_changes.rs
+++ b/src/core/shard/map_changes.rs
@@ -216,9 +216,7 @@
         let is_of_team =
             |record: &JobRecord| record.spec.as_ref().is_some_and(|spec| spec.team == team);
         for (id, stored) in store.jobs() {
-            // A record that this process wrote after the replica's revision is applied once the replica has
-            // reached it.
-            if is_of_team(&stored.record) && stored.version <= store.revision() {
+            if is_of_team(&stored.record) && !store.is_ahead_of_reads(id) {
                 self.apply_job_record(store, id, &stored.record, stored.version, now);
             }
         }
--- a/src/core/shard/progress_records.rs
+++ b/src/core/shard/progress_records.rs
@@ -228,7 +228,7 @@
     }
 
     /// Updates a job whose record was committed, and lets workers forget the tasks that are recorded as done.
-    fn finish_record_write(&mut self, outbox: &Outbox, store: &StoreReplica, id: &JobId) {
+    fn finish_record_write(&mut self, outbox: &Outbox, store: &mut StoreReplica, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -241,6 +241,9 @@
         let (record, version) = (stored.record.clone(), stored.version);
         if record.is_final() {
             tracing::info!(job = %id, version, status = ?record.status, "end of a job recorded: its user is told");
+            if store.dependents(id).next().is_some() {
+                store.request_read();
+            }
         }
         self.allow_forgetting_recorded_exits(id, &record);
         self.apply_job_record(store, id, &record, version, (outbox.now, outbox.wall_ms));
--- a/src/core/store/replica.rs
+++ b/src/core/store/replica.rs
@@ -191,22 +191,30 @@
         self.shard_map.grants_kept_since.get(team).copied()
     }
 
-    /// Takes the jobs whose records changed. A job whose record is newer than the last read stays until a
-    /// read has reached that version: the shard map may have changed before this process wrote the record,
-    /// and then both the former and the new owner of the team could start the job.
+    /// Takes the jobs whose records changed. A job that [`Self::is_ahead_of_reads`] stays until a read has
+    /// reached it.
     pub fn take_changed_jobs(&mut self) -> BTreeSet<JobId> {
-        let (jobs, revision) = (&self.jobs, self.revision);
-        // A finished job is never started, so it does not wait.
-        let ahead_of_reads = |id: &JobId| {
-            jobs.get(id)
-                .is_some_and(|job| job.version > revision && !job.record.is_final())
-        };
         let changed = std::mem::take(&mut self.changed_jobs);
-        let (waiting, changed) = changed.into_iter().partition(ahead_of_reads);
+        let (waiting, changed) = changed
+            .into_iter()
+            .partition(|id| self.is_ahead_of_reads(id));
         self.changed_jobs = waiting;
         changed
     }
 
+    /// Whether this process knows an unfinished job, or the end of one of its dependencies, only by its own
+    /// writes. The shard map may have changed before these writes. The former owner of the team could then start
+    /// a job that the new owner does not count.
+    pub fn is_ahead_of_reads(&self, id: &JobId) -> bool {
+        let Some(job) = self.jobs.get(id).filter(|job| !job.record.is_final()) else {
+            return false;
+        };
+        let is_ahead = |version: Version| version > self.revision;
+        let mut dependencies = job.record.spec.iter().flat_map(|spec| &spec.dependencies);
+        is_ahead(job.version)
+            || dependencies.any(|id| self.jobs.get(id).is_some_and(|job| is_ahead(job.version)))
+    }
+
     /// Whether an unfinished job has a cancelled dependency and therefore counts as cancelled.
     pub fn has_cancelled_dependency(&self, id: &JobId) -> bool {
         self.dependencies.has_cancelled_dependency(id)
