Log lines, status fields and a count that would have told what a team's count rested on

Cause: of the incident only "all machines have reported" would have been logged at a start, and the lines kept began 50 s after the break: most of them told of exits that workers may forget.

Change: one line for the starts of a job of a limited team with its limit, the count by its terms, the revision of the gain, the one that was read, and the machines that have not reported; the same at the gain; at the reconciliation how long it took and which machine was last (it was not logged at all if a sibling's update completed it). `ochredrum status` has the terms of `used` and a count of the times at which an owner itself knew of more attempts than the limit allows, with a warning that names them. Messages that only let workers forget exits are counted in one line a lease. The terms have names in `UsageTerms`; `schema status` gains fields, none is changed.

--- a/src/core/controller/status.rs
+++ b/src/core/controller/status.rs
@@ -5,12 +5,12 @@
 use crate::core::effects::{Answer, Body, RequestId};
 use crate::core::model::process::ProcessId;
 use crate::core::records::versioned::StoredLedger;
-use crate::core::scheduling::usage::{QuotaBasis, grants_are_enabled};
+use crate::core::scheduling::usage::{QuotaBasis, QuotaUnits, grants_are_enabled};
 use crate::core::shard::grants::TeamGrant;
 use crate::ids::{ControllerName, FencingToken};
 use crate::status::{
     BasisStatus, Capacity, GrantStatus, HandOverStatus, HandOverWait, OpinionStatus,
-    OwnedTeamStatus, RecordState, SiblingStatus, StageStatus, Status, TeamStatus,
+    OwnedTeamStatus, RecordState, SiblingStatus, StageStatus, Status, TeamStatus, UsageTermsStatus,
 };
 use failure_detector::{Evidence, Stage};
 use quota_ledger::Amount;
@@ -52,6 +52,7 @@
             detection_on: self.acts_on_failures(),
             siblings: self.sibling_statuses(),
             unexpected_attempts: self.unexpected_attempts(),
+            limit_excesses: self.shard.as_ref().map_or(0, |shard| shard.limit_excesses),
             hand_overs: self.hand_over_statuses(),
         }
     }
@@ -169,11 +170,19 @@
         let team = shard.teams.get(&team_limits.name)?;
         let usage = shard.usage(&self.store, self.outbox.wall_ms);
         let (own, inherited) = usage.own_and_inherited(&team_limits.name);
+        let terms = usage.terms(&team_limits.name);
         Some(OwnedTeamStatus {
             basis: basis_status(team.grant.as_ref()),
             used: capacity(&own.saturating_add(&inherited)),
             inherited: capacity(&inherited),
             unknown_machines: team.unreconciled.len(),
+            terms: Some(UsageTermsStatus {
+                attempts: quota_capacity(terms.attempts),
+                unreconciled: quota_capacity(terms.unreconciled),
+                cancelled: quota_capacity(terms.cancelled),
+                gained_at_revision: team.gained_at_revision,
+                read_up_to: usage.read_up_to,
+            }),
         })
     }
 }
@@ -194,6 +203,14 @@
     Capacity { cpus, gpus }
 }
 
+/// Converts what counts towards a limit to numbers of CPUs and GPUs.
+fn quota_capacity(units: QuotaUnits) -> Capacity {
+    Capacity {
+        cpus: units.cpus,
+        gpus: units.gpus,
+    }
+}
+
 /// Returns the state of a team's grant record. Owners rely on it if every owner since token `since` has
 /// complied with the team's grants and the record began at or after that token.
 fn record_state(stored: Option<&StoredLedger>, since: Option<FencingToken>) -> RecordState {
--- a/src/core/scheduling/usage.rs
+++ b/src/core/scheduling/usage.rs
@@ -3,10 +3,11 @@
 
 use crate::config::{Config, TeamLimits};
 use crate::core::model::resources::Resources;
-use crate::ids::Team;
+use crate::ids::{Team, Version};
 use crate::wire::{JobKind, JobSpec};
 use quota_ledger::{Amount, Limit};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 /// Tolerance for rounding errors in sums of CPUs and GPUs.
 const EPSILON: f64 = 1e-6;
@@ -43,11 +44,71 @@
     fn amount(self) -> Amount {
         Amount::covering(self.cpus, self.gpus)
     }
+
+    /// Whether this is more than a team's limit.
+    pub(crate) fn exceeds_limit(self, team_limits: &TeamLimits) -> bool {
+        !is_within_limit(self.cpus, team_limits.cpus_max)
+            || !is_within_limit(self.gpus, team_limits.gpus_max)
+    }
+}
+
+impl fmt::Display for QuotaUnits {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} CPUs {} GPUs", self.cpus, self.gpus)
+    }
+}
+
+/// The evidence for a part of what a team may be using.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UsageTerm {
+    /// Attempts that this process has issued, or that machines or siblings have reported.
+    Attempts,
+    /// Tasks of unfinished jobs that machines may run which have not reported.
+    Unreconciled,
+    /// Tasks of cancelled jobs that machines may run which have not reported.
+    Cancelled,
+}
+
+/// What a team may be using, by the evidence for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct UsageTerms {
+    /// See [`UsageTerm::Attempts`].
+    pub(crate) attempts: QuotaUnits,
+    /// See [`UsageTerm::Unreconciled`].
+    pub(crate) unreconciled: QuotaUnits,
+    /// See [`UsageTerm::Cancelled`].
+    pub(crate) cancelled: QuotaUnits,
+}
+
+impl UsageTerms {
+    fn add(&mut self, term: UsageTerm, units: QuotaUnits) {
+        match term {
+            UsageTerm::Attempts => self.attempts.add(units),
+            UsageTerm::Unreconciled => self.unreconciled.add(units),
+            UsageTerm::Cancelled => self.cancelled.add(units),
+        }
+    }
+}
+
+impl fmt::Display for UsageTerms {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            attempts,
+            unreconciled,
+            cancelled,
+        } = self;
+        write!(
+            formatter,
+            "attempts {attempts}, unreconciled {unreconciled}, cancelled {cancelled}"
+        )
+    }
 }
 
 /// Resources that one team may be using, and its grant.
 #[derive(Clone, Debug, Default)]
 struct TeamUsage {
+    /// What the team may be using, whatever is granted.
+    terms: UsageTerms,
     /// Resources of all tasks that may be on a machine.
     total: QuotaUnits,
     /// The part of `total` that belongs to tasks that this process started since it gained the team.
@@ -114,6 +175,8 @@
 /// Resources that each team may be using at present.
 #[derive(Debug, Default)]
 pub struct Usage {
+    /// The revision of the store up to which the usage is known.
+    pub(crate) read_up_to: Version,
     teams: BTreeMap<Team, TeamUsage>,
     /// Teams whose usage is unknown. Those with limits start nothing.
     unknown_usage: BTreeSet<Team>,
@@ -122,9 +185,19 @@
 }
 
 impl Usage {
+    /// Creates the usage of teams without tasks, which is known up to this revision of the store.
+    pub(crate) fn known_up_to(read_up_to: Version) -> Self {
+        Self {
+            read_up_to,
+            ..Self::default()
+        }
+    }
+
     /// Adds resources of tasks that this process started.
     pub fn add(&mut self, team: &Team, cpus: f64, gpus: f64) {
         let used = self.teams.entry(team.clone()).or_default();
+        used.terms
+            .add(UsageTerm::Attempts, QuotaUnits { cpus, gpus });
         used.total.add(QuotaUnits { cpus, gpus });
         used.own.add(QuotaUnits { cpus, gpus });
     }
@@ -136,12 +209,18 @@
     }
 
     /// Adds resources of tasks that a previous owner of the team may have started.
-    pub(crate) fn add_inherited(&mut self, team: &Team, cpus: f64, gpus: f64) {
+    pub(crate) fn add_inherited(&mut self, team: &Team, term: UsageTerm, cpus: f64, gpus: f64) {
+        let used = self.teams.entry(team.clone()).or_default();
+        used.terms.add(term, QuotaUnits { cpus, gpus });
+        used.total.add(QuotaUnits { cpus, gpus });
+    }
+
+    /// What the team may be using, by the evidence for it.
+    pub(crate) fn terms(&self, team: &Team) -> UsageTerms {
         self.teams
-            .entry(team.clone())
-            .or_default()
-            .total
-            .add(QuotaUnits { cpus, gpus });
+            .get(team)
+            .map(|used| used.terms)
+            .unwrap_or_default()
     }
 
     /// Marks the usage of a team as unknown.
--- a/src/core/shard/decision_log.rs
+++ b/src/core/shard/decision_log.rs
@@ -23,6 +23,8 @@
 pub struct DecisionLog {
     permitted: TokenBucket,
     left_out: u64,
+    /// Commands to forget an exit since the last call of [`Self::take_forgets`].
+    forgets: usize,
 }
 
 impl DecisionLog {
@@ -31,12 +33,18 @@
         Self {
             permitted: TokenBucket::new(COMMAND_LINES_PER_S, COMMAND_LINES_PER_S, now),
             left_out: 0,
+            forgets: 0,
         }
     }
 
+    /// Takes the number of commands to forget an exit that were sent since the last call.
+    pub(super) fn take_forgets(&mut self) -> usize {
+        std::mem::take(&mut self.forgets)
+    }
+
     /// Takes the permission for one line. The first line after a gap is preceded by the number of those left
     /// out.
-    fn permits_line(&mut self, now: Time) -> bool {
+    pub(super) fn permits_line(&mut self, now: Time) -> bool {
         if !self.permitted.take(now) {
             self.left_out += 1;
             return false;
@@ -48,7 +56,8 @@
         true
     }
 
-    /// Logs a message to a machine that contains stops or forgets. Starts are logged when they are issued.
+    /// Logs a message to a machine that contains stops. Starts are logged when they are issued, messages that only
+    /// let the worker forget exits are counted.
     pub fn log_commands(
         &mut self,
         machine: &MachineId,
@@ -64,7 +73,9 @@
             Command::Forget { task, attempt } => Some((task, *attempt)),
             _ => None,
         });
-        if (stops.is_empty() && forgets.is_empty()) || !self.permits_line(now) {
+        let is_forget = |command: &&Command| matches!(command, Command::Forget { .. });
+        self.forgets += batch.commands.iter().filter(is_forget).count();
+        if stops.is_empty() || !self.permits_line(now) {
             return;
         }
         tracing::info!(
@@ -74,7 +85,7 @@
             starts = batch.starts.len(),
             %stops,
             %forgets,
-            "stops and forgets sent to a machine"
+            "stops sent to a machine"
         );
     }
 
--- a/src/core/shard/map_changes.rs
+++ b/src/core/shard/map_changes.rs
@@ -205,13 +205,13 @@
         team: Team,
         token: FencingToken,
     ) {
-        tracing::info!(%team, token = token.0, "team gained");
         let unreconciled = store.shard_map().machines.keys().cloned().collect();
         let grant = self.new_team_grant(&team, token);
-        let owned = OwnedTeam::new(token, store.map_revision(), unreconciled, grant);
+        let revision = store.map_revision();
+        let owned = OwnedTeam::new(token, revision, unreconciled, grant, outbox.now);
         self.teams.insert(team.clone(), owned);
         self.read_grant_records(store);
-        self.reconcile_teams(store);
+        self.reconcile_teams(store, outbox.now);
         let now = (outbox.now, outbox.wall_ms);
         let is_of_team =
             |record: &JobRecord| record.spec.as_ref().is_some_and(|spec| spec.team == team);
@@ -220,6 +220,7 @@
                 self.apply_job_record(store, id, &stored.record, stored.version, now);
             }
         }
+        self.log_gained_team(store, &team, outbox.wall_ms);
     }
 
     /// Initializes the image caches of owned machines with the images that siblings have reported.
--- a/src/core/shard/mod.rs
+++ b/src/core/shard/mod.rs
@@ -13,6 +13,7 @@
 pub mod dependent_cancellations;
 pub mod grants;
 pub mod lease_expiry;
+pub mod limit_watch;
 pub mod map_changes;
 pub mod opportunistic;
 pub mod owned_jobs;
@@ -100,6 +101,8 @@
     pub(crate) starts_held_back: u64,
     /// Number of attempts that appeared on owned machines although no start of them was in flight.
     pub(crate) unexpected_attempts: u64,
+    /// Number of times that the attempts of a team began to exceed its limit.
+    pub(crate) limit_excesses: u64,
     /// The log of commands.
     decision_log: DecisionLog,
     /// Jobs whose progress or completion has yet to be recorded in the store.
@@ -158,6 +161,7 @@
             starts_in_flight: StartsInFlight::default(),
             starts_held_back: 0,
             unexpected_attempts: 0,
+            limit_excesses: 0,
             decision_log: DecisionLog::new(now),
             unrecorded: UnrecordedJobs::default(),
             unreconciled_jobs: BTreeMap::new(),
@@ -196,7 +200,7 @@
         self.read_grant_records(store);
         self.apply_changed_job_records(store, now, outbox.wall_ms);
         self.check_machines(store, catalog, now);
-        self.reconcile_teams(store);
+        self.reconcile_teams(store, now);
         self.record_progress(outbox);
         self.record_dependent_cancellations(outbox, store);
         self.place_when_due(outbox, store, catalog);
@@ -255,6 +259,7 @@
         self.rounds += 1;
         self.drain_reclaimed_machines(outbox.now);
         let mut usage = self.usage(store, outbox.wall_ms);
+        self.watch_limits(&usage);
         self.schedule(outbox.now, &mut usage, catalog);
         self.write_grants(outbox, store, &usage);
     }
--- a/src/core/shard/owned_team.rs
+++ b/src/core/shard/owned_team.rs
@@ -1,5 +1,6 @@
 //! The state of a team that the shard owns, and the numbering of its tasks' attempts.
 
+use crate::core::model::time::Time;
 use crate::core::shard::Shard;
 use crate::core::shard::grants::TeamGrant;
 use crate::ids::{Attempt, FencingToken, MachineId, Team, Version};
@@ -18,8 +19,16 @@
     token: FencingToken,
     /// The store replica's `map_revision` when this process learned that it owns the team.
     pub gained_at_revision: Version,
+    /// When this process gained the team.
+    gained_at: Time,
     /// Machines that may run tasks of the team that no heartbeat has reported yet.
     pub unreconciled: BTreeSet<MachineId>,
+    /// The machine that reported last; `None` if none has reported since the team was gained.
+    pub(crate) last_reported: Option<MachineId>,
+    /// Whether it was logged that every machine has reported.
+    reconciliation_logged: bool,
+    /// Whether the attempts of the team exceeded its limit in the last placement round.
+    pub(crate) exceeds_limit: bool,
     /// How many attempt numbers were issued under the current token.
     attempts: u64,
     /// The quota grant of this process for the team; `None` if grants do not apply to the team.
@@ -34,11 +43,16 @@
         gained_at_revision: Version,
         unreconciled: BTreeSet<MachineId>,
         grant: Option<TeamGrant>,
+        now: Time,
     ) -> Self {
         Self {
             token,
             gained_at_revision,
+            gained_at: now,
             unreconciled,
+            last_reported: None,
+            reconciliation_logged: false,
+            exceeds_limit: false,
             attempts: 0,
             grant,
         }
@@ -54,6 +68,27 @@
         self.unreconciled.is_empty()
     }
 
+    /// Records that a machine has reported which of the team's tasks it runs.
+    pub(crate) fn record_report(&mut self, machine: &MachineId) {
+        if self.unreconciled.remove(machine) {
+            self.last_reported = Some(machine.clone());
+        }
+    }
+
+    /// Logs once that every machine has reported, how long that took and which machine was the last one.
+    pub(crate) fn log_reconciliation(&mut self, team: &Team, now: Time) {
+        if !self.is_reconciled() || std::mem::replace(&mut self.reconciliation_logged, true) {
+            return;
+        }
+        tracing::info!(
+            %team,
+            token = self.token.0,
+            seconds = %format_args!("{:.2}", now - self.gained_at),
+            last_machine = self.last_reported.as_ref().map_or("", MachineId::as_str),
+            "team reconciled: all its tasks may be started"
+        );
+    }
+
     /// Whether a replica that has read up to `read` holds every job that an earlier owner may have started. A leader
     /// knows of a team that it assigns to itself by its own write, before it reads what was written earlier.
     pub(crate) fn has_read_earlier_jobs(&self, read: Version) -> bool {
--- a/src/core/shard/reconciliation.rs
+++ b/src/core/shard/reconciliation.rs
@@ -1,5 +1,6 @@
 //! Reconciliation of teams. A team is reconciled once all machines that may run its tasks have reported them.
 
+use crate::core::model::time::Time;
 use crate::core::shard::Shard;
 use crate::core::store::replica::StoreReplica;
 use crate::ids::{Attempt, JobId, MachineId, Team};
@@ -8,8 +9,11 @@
 impl Shard {
     /// Reconciles the teams whose machines are all reconciled. A task of such a team is not running if no
     /// heartbeat has reported it.
-    pub(crate) fn reconcile_teams(&mut self, store: &StoreReplica) {
+    pub(crate) fn reconcile_teams(&mut self, store: &StoreReplica, now: Time) {
         self.update_unreconciled_machines(store);
+        for (team, owned) in &mut self.teams {
+            owned.log_reconciliation(team, now);
+        }
         for incomplete_gang in self.reconcile_jobs() {
             self.stop_incomplete_gang(&incomplete_gang);
         }
@@ -27,13 +31,15 @@
             .teams
             .iter_mut()
             .filter(|(_, owned)| !owned.is_reconciled());
-        for (team, owned) in unreconciled_teams {
-            owned
-                .unreconciled
-                .retain(|id| mapped_machines.contains_key(id) && !is_reconciled(id));
-            if owned.is_reconciled() {
-                tracing::info!(%team, "team reconciled: all its tasks may be started");
-            }
+        for (_, owned) in unreconciled_teams {
+            let last_reported = &mut owned.last_reported;
+            owned.unreconciled.retain(|id| {
+                let waits = mapped_machines.contains_key(id) && !is_reconciled(id);
+                if !waits {
+                    *last_reported = Some(id.clone());
+                }
+                waits
+            });
         }
     }
 
--- a/src/core/shard/reconciliation/tests.rs
+++ b/src/core/shard/reconciliation/tests.rs
@@ -28,15 +28,15 @@
     assert_eq!(shard.jobs.len(), JOBS);
     let before = shard.visits;
     for _ in 0..STEPS {
-        shard.reconcile_teams(&store);
+        shard.reconcile_teams(&store, 0.0);
     }
     assert!(!shard.teams[&Team::from("red")].is_reconciled());
     assert_eq!(shard.visits, before);
 
     let machine = shard.machines.get_mut(&"m-000001".into()).unwrap();
     machine.known_empty = true;
-    shard.reconcile_teams(&store);
+    shard.reconcile_teams(&store, 0.0);
     assert!(shard.jobs.values().all(|job| job.unreconciled_count() == 0));
-    shard.reconcile_teams(&store);
+    shard.reconcile_teams(&store, 0.0);
     assert!(shard.visits - before <= JOBS as u64);
 }
--- a/src/core/shard/round.rs
+++ b/src/core/shard/round.rs
@@ -304,6 +304,7 @@
                 self.start_task(id, placement.task, &snapshot.id, attempt, now);
             }
         }
+        self.log_start_within_limit(id, attempt, &startable.team_limits, usage, now);
         true
     }
 
--- a/src/core/shard/shard_log.rs
+++ b/src/core/shard/shard_log.rs
@@ -36,6 +36,10 @@
         self.log_machines(now);
         self.log_demand();
         self.log_unreconciled_teams();
+        let forgets = self.decision_log.take_forgets();
+        if forgets > 0 {
+            tracing::info!(forgets, "workers were told to forget exits");
+        }
     }
 
     fn log_tasks(&self) {
--- a/src/core/shard/sibling_updates.rs
+++ b/src/core/shard/sibling_updates.rs
@@ -281,7 +281,7 @@
     fn mark_reconciled(&mut self, id: &MachineId, coverage: &Coverage) {
         for (name, owned) in &mut self.teams {
             if coverage.includes(name, owned.gained_at_revision) {
-                owned.unreconciled.remove(id);
+                owned.record_report(id);
             }
         }
     }
--- a/src/core/shard/usage.rs
+++ b/src/core/shard/usage.rs
@@ -12,7 +12,7 @@
 //! starts nothing.
 
 use crate::core::model::time::MS_PER_S;
-use crate::core::scheduling::usage::Usage;
+use crate::core::scheduling::usage::{Usage, UsageTerm};
 use crate::core::shard::{OwnedTeam, Shard};
 use crate::core::store::cancelled_jobs::CancelledSince;
 use crate::core::store::replica::StoreReplica;
@@ -27,7 +27,7 @@
     /// Computes the resources that this shard's teams may be using, including on machines that have not
     /// reported their tasks. `wall_ms` is the wall-clock time in milliseconds.
     pub(crate) fn usage(&self, store: &StoreReplica, wall_ms: u64) -> Usage {
-        let mut usage = Usage::default();
+        let mut usage = Usage::known_up_to(store.revision());
         self.add_attempts(&mut usage);
         self.add_unreconciled_tasks(&mut usage);
         self.add_cancelled_jobs(store, wall_ms, &mut usage);
@@ -61,7 +61,8 @@
                     usage.add(team, resources.cpus, resources.gpus);
                 }
                 (Some(resources), Some(team)) => {
-                    usage.add_inherited(team, resources.cpus, resources.gpus);
+                    let term = UsageTerm::Attempts;
+                    usage.add_inherited(team, term, resources.cpus, resources.gpus);
                 }
                 // With `may_forget`, the attempt belongs to a finished job whose record does not name its
                 // team. Any team may be using its resources.
@@ -82,7 +83,13 @@
             .filter(|job| job.unreconciled_count() > 0)
         {
             let tasks = f64::from(job.unreconciled_count());
-            usage.add_inherited(&job.spec.team, job.spec.cpus * tasks, job.spec.gpus * tasks);
+            let spec = &job.spec;
+            usage.add_inherited(
+                &spec.team,
+                UsageTerm::Unreconciled,
+                spec.cpus * tasks,
+                spec.gpus * tasks,
+            );
         }
     }
 
@@ -113,7 +120,12 @@
                 let counted = counted_tasks.get(id).map_or(0, BTreeSet::len);
                 let counted = u32::try_from(counted).unwrap_or(u32::MAX);
                 let tasks = f64::from(job.tasks.saturating_sub(counted));
-                usage.add_inherited(name, job.need.cpus * tasks, job.need.gpus * tasks);
+                usage.add_inherited(
+                    name,
+                    UsageTerm::Cancelled,
+                    job.need.cpus * tasks,
+                    job.need.gpus * tasks,
+                );
             }
         }
     }
--- a/src/status.rs
+++ b/src/status.rs
@@ -38,6 +38,10 @@
     /// something is wrong, or a controller of an earlier release took part.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub unexpected_attempts: u64,
+    /// Times at which the controller saw more attempts of a team that it owns than the team's limit allows: 0 unless
+    /// something is wrong, or the limit was lowered.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub limit_excesses: u64,
     /// Shares of controllers that have failed.
     #[serde(default)]
     pub hand_overs: Vec<HandOverStatus>,
@@ -202,6 +206,24 @@
     pub inherited: Capacity,
     /// Machines that have not told yet what they run of the team.
     pub unknown_machines: usize,
+    /// What `used` consists of; controllers of earlier releases do not tell it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<UsageTermsStatus>,
+}
+
+/// What counts towards a team's limit, by the evidence for it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct UsageTermsStatus {
+    /// Attempts that the owner has started, or that machines or other controllers have reported.
+    pub attempts: Capacity,
+    /// Tasks of unfinished jobs that machines may run which have not reported.
+    pub unreconciled: Capacity,
+    /// Tasks of cancelled jobs that machines may run which have not reported.
+    pub cancelled: Capacity,
+    /// The revision of the state service at which the owner gained the team.
+    pub gained_at_revision: u64,
+    /// The revision that it has read. A team with a limit starts nothing while this is below `gained_at_revision`.
+    pub read_up_to: u64,
 }
 
 /// What an owner goes by when it starts tasks.
@@ -259,6 +281,9 @@
         if self.unexpected_attempts > 0 {
             write!(text, ", {} unexpected attempts", self.unexpected_attempts).ok();
         }
+        if self.limit_excesses > 0 {
+            write!(text, ", limits exceeded {} times", self.limit_excesses).ok();
+        }
         text
     }
 }
--- a/src/status/tests.rs
+++ b/src/status/tests.rs
@@ -29,6 +29,7 @@
                 used: gpus(12.5),
                 inherited: gpus(9.0),
                 unknown_machines: 3,
+                terms: Some(UsageTermsStatus::default()),
             }),
         }],
         detection_on: true,
@@ -37,6 +38,7 @@
             sibling_status("n2", StageStatus::Confirmed),
         ],
         unexpected_attempts: 2,
+        limit_excesses: 0,
         hand_overs: vec![HandOverStatus {
             controller: "n2".into(),
             incarnation: 3,
