--- a/src/core/shard/tests.rs
+++ b/src/core/shard/tests.rs
@@ -188,9 +188,8 @@
     assert!(!machine.unresponsive && machine.token == FencingToken(10));
 }
 
-/// A leader that assigns itself a machine owns it by its own write, before it has read earlier jobs.
-#[test]
-fn machine_with_a_task_of_an_unknown_job_is_not_reported_as_reconciled() {
+/// A shard that owns a machine, beside a sibling that owns team `red` and asks for observations.
+fn shard_observed_by_owner_of_red() -> (Shard, Outbox, StoreReplica) {
     let (mut shard, mut outbox, mut store) = shard();
     let own_entry = ShardEntry {
         owner: owner("n0"),
@@ -205,6 +204,13 @@
     apply_shard_map(&mut store, 5, vec![own_entry, other]);
     shard.apply_map_changes(&mut outbox, &store, &UnresponsiveMachines::default());
     shard.listeners.insert("n1".into());
+    (shard, outbox, store)
+}
+
+/// A leader that assigns itself a machine owns it by its own write, before it has read earlier jobs.
+#[test]
+fn machine_with_a_task_of_an_unknown_job_is_not_reported_as_reconciled() {
+    let (mut shard, outbox, mut store) = shard_observed_by_owner_of_red();
     let id = MachineId::from("m-1");
     shard.machines.get_mut(&id).unwrap().token_confirmed = true;
     let task = TaskId {
@@ -239,20 +245,7 @@
 /// record only after the cancellation, and reported the machine without the task.
 #[test]
 fn a_task_whose_job_is_first_read_as_cancelled_is_reported_to_its_teams_owner() {
-    let (mut shard, mut outbox, mut store) = shard();
-    let own_entry = ShardEntry {
-        owner: owner("n0"),
-        teams: vec![],
-        machines: vec!["m-1".into()],
-    };
-    let other = ShardEntry {
-        owner: owner("n1"),
-        teams: vec!["red".into()],
-        machines: vec![],
-    };
-    apply_shard_map(&mut store, 5, vec![own_entry, other]);
-    shard.apply_map_changes(&mut outbox, &store, &UnresponsiveMachines::default());
-    shard.listeners.insert("n1".into());
+    let (mut shard, mut outbox, mut store) = shard_observed_by_owner_of_red();
     let mut shown = heartbeat("m-1", 1, 1, FencingToken(9));
     shown.tasks.push(crate::wire::ReportedTask {
         task: "req-000001/0".into(),
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -1,5 +1,6 @@
 //! Tests that simulate a whole deployment.
 
+mod best_effort;
 mod failover;
 mod generated_scenarios;
 mod grants;
