--- a/tests/simulation/grants.rs
+++ b/tests/simulation/grants.rs
@@ -62,3 +62,12 @@
         "{with} s with grants, {without} s without"
     );
 }
+
+/// Guards against a gang that waits for ever for a larger grant although its team's limit has room for it. Seed 216 of
+/// `limited_teams_violate_no_invariant`.
+#[test]
+fn a_gang_within_its_teams_limit_gets_a_grant() {
+    let scenario = include_str!("../fixtures/gang_without_grant.txt");
+    let world = run_scenario(&format!("grants\n{scenario}"));
+    assert_no_violations("gang without a grant", &world);
+}
