--- a/src/core/shard/tests.rs
+++ b/src/core/shard/tests.rs
@@ -241,8 +241,7 @@
     assert_eq!(update_lengths(&shard, &store), (1, 1));
 }
 
-/// Guards against a team's owner that starts tasks beside one of a cancelled job: the machine's owner read the job's
-/// record only after the cancellation, and reported the machine without the task.
+/// Otherwise the team's owner starts tasks beside it, over the limit.
 #[test]
 fn a_task_whose_job_is_first_read_as_cancelled_is_reported_to_its_teams_owner() {
     let (mut shard, mut outbox, mut store) = shard_observed_by_owner_of_red();
--- a/src/core/shard/usage/tests.rs
+++ b/src/core/shard/usage/tests.rs
@@ -116,8 +116,7 @@
     }
 }
 
-/// Guards against an owner that knows of its team by its own write of the shard map, but has not read the jobs
-/// that the former owner started: what a machine shows of them was counted for no team.
+/// A leader knows of a team that it assigns to itself before it has read the jobs that the former owner started.
 #[test]
 fn a_limited_team_starts_nothing_beside_running_tasks_of_jobs_that_are_not_read_yet() {
     let mut fixture = Fixture::new(3.0, 5);
@@ -134,8 +133,7 @@
     assert_eq!(fixture.started(WAITING_JOB), 1, "3 GPUs, 2 in use");
 }
 
-/// Guards against a start that the team's next owner does not count: this owner has not read the change of the shard
-/// map, and the next owner has not read that the dependency is done.
+/// Otherwise a former owner starts a job that the next owner, which has not read the end either, does not count.
 #[test]
 fn a_job_is_not_started_before_its_dependency_is_read_as_done() {
     let mut fixture = Fixture::new(0.0, GAINED);
--- a/tests/simulation/best_effort.rs
+++ b/tests/simulation/best_effort.rs
@@ -2,8 +2,7 @@
 
 use crate::script::{assert_no_violations, run_scenario};
 
-/// Guards against best-effort work that waits while a machine of another shard has room. Drawn as seed 26 of
-/// `limited_teams_violate_no_invariant` while its arrays could have low priority.
+/// Seed 26 of `limited_teams_violate_no_invariant` as it was while arrays could have low priority.
 #[test]
 fn best_effort_arrays_are_not_left_waiting_beside_room() {
     let scenario = include_str!("../fixtures/best_effort_beside_room.txt");
--- a/tests/simulation/grants.rs
+++ b/tests/simulation/grants.rs
@@ -63,8 +63,7 @@
     );
 }
 
-/// Guards against a gang that waits for ever for a larger grant although its team's limit has room for it. Seed 216 of
-/// `limited_teams_violate_no_invariant`.
+/// Seed 216 of `limited_teams_violate_no_invariant`.
 #[test]
 fn a_gang_within_its_teams_limit_gets_a_grant() {
     let scenario = include_str!("../fixtures/gang_without_grant.txt");
